--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -8,13 +8,17 @@
 find_package(Boost REQUIRED COMPONENTS log)
 find_package(OpenSSL REQUIRED)
 find_package(nlohmann_json REQUIRED)
-find_package(GTest REQUIRED)
-find_package(rapidcheck REQUIRED)
-find_package(benchmark REQUIRED)
+if(NOT BORAGELUG_DAEMON_ONLY)
+  find_package(GTest REQUIRED)
+  find_package(rapidcheck REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 
 # Compiler settings shared by all of the project's own targets.
 add_library(boragelug_options INTERFACE)
 target_compile_options(boragelug_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
+# GCC 12 reports a false overlap for text + std::string in optimized code (GCC bug 105651).
+target_compile_options(boragelug_options INTERFACE -Wno-error=restrict)
 target_include_directories(boragelug_options INTERFACE ${PROJECT_SOURCE_DIR})
 if(BORAGELUG_SANITIZE)
   target_compile_options(boragelug_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all
--- a/core/event.cpp
+++ b/core/event.cpp
@@ -1,5 +1,8 @@
 #include "core/event.h"
 
+#include <array>
+#include <cstdio>
+
 namespace boragelug
 {
 
@@ -46,6 +49,10 @@
         return "view_in_doubt";
     case EventNumber::ViewCertain:
         return "view_certain";
+    case EventNumber::RecordUnreadable:
+        return "record_unreadable";
+    case EventNumber::DirectoryCallFailed:
+        return "directory_call_failed";
     case EventNumber::FlowPlaced:
         return "flow_placed";
     case EventNumber::FlowRefused:
@@ -86,6 +93,8 @@
         return "upstream_ejected";
     case EventNumber::UpstreamRecovered:
         return "upstream_recovered";
+    case EventNumber::UpstreamLapsed:
+        return "upstream_lapsed";
     case EventNumber::PeerMessageDropped:
         return "peer_message_dropped";
     case EventNumber::PeerBudgetExhausted:
@@ -96,4 +105,11 @@
     return "unknown_event";
 }
 
+std::string causeText(std::uint64_t causeId)
+{
+    std::array<char, 17> text {};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(causeId));
+    return text.data();
+}
+
 } // namespace boragelug
--- a/core/event.h
+++ b/core/event.h
@@ -38,6 +38,8 @@
     MemberLeaving = 213,
     ViewInDoubt = 214,
     ViewCertain = 215,
+    RecordUnreadable = 216,
+    DirectoryCallFailed = 217,
     FlowPlaced = 300,
     FlowRefused = 301,
     FlowGuessed = 302,
@@ -58,6 +60,7 @@
     UpstreamGone = 502,
     UpstreamEjected = 503,
     UpstreamRecovered = 504,
+    UpstreamLapsed = 505,
     PeerMessageDropped = 600,
     PeerBudgetExhausted = 601,
     OperatorQuery = 700,
@@ -66,6 +69,9 @@
 /// Name of an event as logs and time lines show it. Thread-safe.
 std::string_view eventName(EventNumber number);
 
+/// A cause id or another 64-bit id as 16 hexadecimal digits, as all outputs show it. Thread-safe.
+std::string causeText(std::uint64_t causeId);
+
 /// One thing that happened in one process.
 struct Event
 {
--- a/core/event_severity.cpp
+++ b/core/event_severity.cpp
@@ -36,6 +36,8 @@
     case EventNumber::PacketDropped:
     case EventNumber::RequestUnknown:
     case EventNumber::UpstreamEjected:
+    case EventNumber::UpstreamLapsed:
+    case EventNumber::RecordUnreadable:
     case EventNumber::PeerMessageDropped:
     case EventNumber::PeerBudgetExhausted:
         return EventSeverity::Warning;
--- a/drivers/event_text.cpp
+++ b/drivers/event_text.cpp
@@ -220,13 +220,6 @@
     return seconds * microsecondsPerSecond + *fraction;
 }
 
-std::string causeText(std::uint64_t causeId)
-{
-    std::array<char, 17> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(causeId));
-    return text.data();
-}
-
 std::optional<std::uint64_t> parseCause(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/drivers/event_text.h
+++ b/drivers/event_text.h
@@ -27,9 +27,6 @@
 /// Reads what timeText() writes, also with fewer or no decimals of the second. Thread-safe.
 std::optional<std::uint64_t> parseTime(std::string_view text);
 
-/// A cause id as 16 hexadecimal digits, as all outputs show it. Thread-safe.
-std::string causeText(std::uint64_t causeId);
-
 /// Reads 1 to 16 hexadecimal digits. Thread-safe.
 std::optional<std::uint64_t> parseCause(std::string_view text);
 
--- a/drivers/http_platform.cpp
+++ b/drivers/http_platform.cpp
@@ -3,13 +3,9 @@
 #include "drivers/platform_http_codec.h"
 #include "drivers/platform_json.h"
 
-#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 #include <charconv>
 #include <string>
@@ -21,8 +17,6 @@
 namespace
 {
 
-constexpr std::size_t readBytes = 16'384;
-
 PlatformAnswer failure(std::uint64_t callId, PlatformError error, std::string detail, Duration retryAfter = {})
 {
     return { callId, PlatformFailure { error, std::move(detail), retryAfter } };
@@ -62,13 +56,11 @@
     return failure(call.id, PlatformError::Malformed, "unknown resource");
 }
 
-std::string requestBytes(const PlatformCall &call, const Endpoint &server)
+PlatformHttpRequest makeRequest(const PlatformCall &call)
 {
     PlatformHttpRequest request;
     request.target = platformPath(call);
-    request.fields["Host"] = toString(server);
     request.fields["Accept"] = "application/json";
-    request.fields["Connection"] = "close";
     if (call.knownVersion != 0) {
         request.fields["If-None-Match"] = "\"" + std::to_string(call.knownVersion) + "\"";
     }
@@ -76,7 +68,31 @@
     if (wait > 0) {
         request.fields["Prefer"] = "wait=" + std::to_string(wait);
     }
-    return serialize(request);
+    return request;
+}
+
+PlatformAnswer translateResponse(const PlatformCall &call, const PlatformHttpResponse &response)
+{
+    const auto retryAfter = response.fields.find("retry-after");
+    return boragelug::translateResponse(call,
+                                        response.status,
+                                        retryAfter == response.fields.end() ? std::string_view() : retryAfter->second,
+                                        response.body);
+}
+
+PlatformAnswer translateFailure(std::uint64_t callId, const HttpCallFailure &reason)
+{
+    switch (reason.error) {
+    case HttpCallError::Unreachable:
+        return failure(callId, PlatformError::Unreachable, reason.detail);
+    case HttpCallError::TimedOut:
+        return failure(callId, PlatformError::TimedOut, reason.detail);
+    case HttpCallError::Malformed:
+        return failure(callId, PlatformError::Malformed, reason.detail);
+    case HttpCallError::TooLarge:
+        return failure(callId, PlatformError::TooLarge, reason.detail);
+    }
+    return failure(callId, PlatformError::Malformed, reason.detail);
 }
 
 } // namespace
@@ -108,133 +124,6 @@
     return failure(call.id, PlatformError::Malformed, detail);
 }
 
-/// One call on one connection.
-class HttpPlatform::Exchange : public std::enable_shared_from_this<Exchange>
-{
-public:
-    Exchange(HttpPlatform &owner, PlatformCall call, Done done, Endpoint server)
-        : owner_(&owner)
-        , call_(call)
-        , done_(std::move(done))
-        , server_(server)
-        , socket_(owner.context_)
-        , timer_(owner.context_)
-        , reader_(owner.settings_.maxValueBytes)
-    { }
-
-    void start()
-    {
-        timer_.expires_after(call_.wait + owner_->settings_.timeout);
-        timer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
-            if (!error) {
-                self->end(failure(self->call_.id, PlatformError::TimedOut, "no answer in time"));
-            }
-        });
-        const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(server_.address.value), server_.port.value);
-        socket_.async_connect(endpoint, [self = shared_from_this()](const asio::error_code &error) {
-            if (error) {
-                self->end(failure(self->call_.id, PlatformError::Unreachable, error.message()));
-            } else {
-                self->sendRequest();
-            }
-        });
-    }
-
-    /// Ends the call with @p answer; later events do nothing.
-    void end(PlatformAnswer answer)
-    {
-        HttpPlatform *owner = std::exchange(owner_, nullptr);
-        if (owner == nullptr) {
-            return;
-        }
-        close();
-        const auto *failed = std::get_if<PlatformFailure>(&answer.result);
-        if (failed != nullptr && failed->error != PlatformError::Cancelled
-            && failed->error != PlatformError::NotFound) {
-            owner->nextServer_ = (owner->nextServer_ + 1) % owner->settings_.servers.size();
-        }
-        const auto self = shared_from_this();
-        owner->exchanges_.erase(call_.id);
-        Done done = std::move(done_);
-        done(std::move(answer));
-    }
-
-    /// Ends the call without an answer.
-    void abandon()
-    {
-        owner_ = nullptr;
-        close();
-    }
-
-    std::uint64_t id() const { return call_.id; }
-
-private:
-    void close()
-    {
-        asio::error_code ignored;
-        socket_.close(ignored);
-        timer_.cancel();
-    }
-
-    void sendRequest()
-    {
-        request_ = requestBytes(call_, server_);
-        asio::async_write(
-            socket_, asio::buffer(request_), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
-                if (error) {
-                    self->end(failure(self->call_.id, PlatformError::Unreachable, error.message()));
-                } else {
-                    self->readMore();
-                }
-            });
-    }
-
-    void readMore()
-    {
-        socket_.async_read_some(
-            asio::buffer(buffer_), [self = shared_from_this()](const asio::error_code &error, std::size_t bytes) {
-                if (self->owner_ == nullptr) {
-                    return;
-                }
-                self->advance(error ? self->reader_.finish()
-                                    : self->reader_.feed(std::string_view(self->buffer_.data(), bytes)));
-            });
-    }
-
-    void advance(HttpProgress progress)
-    {
-        switch (progress) {
-        case HttpProgress::NeedMore:
-            readMore();
-            return;
-        case HttpProgress::Malformed:
-            end(failure(call_.id, PlatformError::Malformed, "not a complete HTTP response"));
-            return;
-        case HttpProgress::TooLarge:
-            end(failure(call_.id, PlatformError::TooLarge, "value over the size limit"));
-            return;
-        case HttpProgress::Complete:
-            break;
-        }
-        const PlatformHttpResponse response = reader_.take();
-        const auto retryAfter = response.fields.find("retry-after");
-        end(translateResponse(call_,
-                              response.status,
-                              retryAfter == response.fields.end() ? std::string_view() : retryAfter->second,
-                              response.body));
-    }
-
-    HttpPlatform *owner_;
-    PlatformCall call_;
-    Done done_;
-    Endpoint server_;
-    asio::ip::tcp::socket socket_;
-    asio::steady_timer timer_;
-    PlatformResponseReader reader_;
-    std::string request_;
-    std::array<char, readBytes> buffer_ {};
-};
-
 HttpPlatform::HttpPlatform(asio::io_context &context, HttpPlatformSettings settings)
     : context_(context)
     , settings_(std::move(settings))
@@ -245,27 +134,57 @@
 HttpPlatform::~HttpPlatform()
 {
     for (const auto &[id, exchange] : exchanges_) {
-        exchange->abandon();
+        exchange.http->abandon();
     }
 }
 
 void HttpPlatform::call(const PlatformCall &call, Done done)
 {
     assert(!exchanges_.contains(call.id));
-    const Endpoint server = settings_.servers[nextServer_];
-    auto exchange = std::make_shared<Exchange>(*this, call, std::move(done), server);
-    exchanges_[call.id] = exchange;
-    exchange->start();
+    HttpCallLimits limits;
+    limits.timeout = call.wait + settings_.timeout;
+    limits.connectTimeout = settings_.timeout;
+    limits.maxBodyBytes = settings_.maxValueBytes;
+    auto http = HttpCall::start(
+        context_, settings_.servers[nextServer_], makeRequest(call), limits, [this, call](HttpCall::Result result) {
+            handleResult(call, std::move(result));
+        });
+    exchanges_.emplace(call.id, Exchange { std::move(http), std::move(done) });
+}
+
+void HttpPlatform::handleResult(const PlatformCall &call, HttpCall::Result result)
+{
+    PlatformAnswer answer = result ? translateResponse(call, *result) : translateFailure(call.id, result.lastReason());
+    const auto *failed = std::get_if<PlatformFailure>(&answer.result);
+    if (failed != nullptr && failed->error != PlatformError::NotFound) {
+        nextServer_ = (nextServer_ + 1) % settings_.servers.size();
+    }
+    finish(call.id, std::move(answer));
+}
+
+void HttpPlatform::finish(std::uint64_t callId, PlatformAnswer answer)
+{
+    const auto found = exchanges_.find(callId);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    const Done done = std::move(found->second.done);
+    exchanges_.erase(found);
+    done(std::move(answer));
 }
 
 void HttpPlatform::cancel(std::uint64_t callId)
 {
-    const auto it = exchanges_.find(callId);
-    if (it == exchanges_.end()) {
+    const auto found = exchanges_.find(callId);
+    if (found == exchanges_.end()) {
         return;
     }
-    const std::shared_ptr<Exchange> exchange = it->second;
-    asio::post(context_, [exchange] { exchange->end(failure(exchange->id(), PlatformError::Cancelled, "cancelled")); });
+    found->second.http->abandon();
+    asio::post(context_, [this, callId, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) {
+            finish(callId, failure(callId, PlatformError::Cancelled, "cancelled"));
+        }
+    });
 }
 
 } // namespace boragelug
--- a/drivers/http_platform.h
+++ b/drivers/http_platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "drivers/http_call.h"
 #include "model/endpoint.h"
 #include "servers/platform.h"
 
@@ -50,12 +51,21 @@
     void cancel(std::uint64_t callId) override;
 
 private:
-    class Exchange;
+    struct Exchange
+    {
+        std::shared_ptr<HttpCall> http;
+        Done done;
+    };
+
+    void handleResult(const PlatformCall &call, HttpCall::Result result);
+    void finish(std::uint64_t callId, PlatformAnswer answer);
 
     asio::io_context &context_;
     HttpPlatformSettings settings_;
     std::size_t nextServer_ = 0;
-    std::map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
+    std::map<std::uint64_t, Exchange> exchanges_;
+    /// Expires with this object, so that posted work knows.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace boragelug
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,20 +17,25 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 42> definitions { {
+constexpr std::array<MetricDefinition, 48> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_attempts_cancelled_total", "Attempts at upstreams that were cancelled.", single },
     { "boragelug_attempts_total", "Attempts of requests at upstreams.", single },
     { "boragelug_catalogue_rejected_total", "Catalogues that were refused as a whole.", single },
     { "boragelug_catalogue_version", "Version of the catalogue in effect.", single },
+    { "boragelug_directory_calls_total", "Calls to the directory.", single },
+    { "boragelug_directory_failures_total", "Failed calls to the directory, by reason.", perReason },
+    { "boragelug_directory_read_seconds", "Time of answers of the directory that don't wait for a change.", single },
     { "boragelug_entry_bytes_total", "Bytes forwarded, by entry.", perEntry },
     { "boragelug_entry_limit_share", "This VM's share of a limit, by entry and limit.", 5 * perEntry },
     { "boragelug_entry_use", "Use that a limit bounds, by entry and limit.", 5 * perEntry },
     { "boragelug_flow_table_entries", "Flow entries held.", single },
     { "boragelug_flows_broken_total", "Established flows that lost their upstream.", single },
     { "boragelug_flows_evicted_total", "Flow entries evicted from a full table, by state.", perReason },
+    { "boragelug_flows_moved_total", "New flows sent to another upstream after the first one did not answer.", single },
     { "boragelug_flows_open", "Open flows of which this VM is the primary, by service.", perService },
+    { "boragelug_flows_placed_remote_total", "New flows placed in another availability zone.", single },
     { "boragelug_flows_placed_total", "New flows placed.", single },
     { "boragelug_flows_refused_total", "Packets of flows refused, by reason.", perReason },
     { "boragelug_imbalance", "Load of the most loaded upstream divided by the mean, by service.", perService },
@@ -58,6 +63,7 @@
     { "boragelug_upstream_late_work_total",
       "New work sent to an upstream over 3 s after it was known to leave.",
       single },
+    { "boragelug_upstream_misses_total", "Packets of callers that an upstream left without answer.", single },
     { "boragelug_upstreams", "Upstreams, by service and state.", 8 * perService },
     { "boragelug_view_age_seconds", "Time since the view was last confirmed.", single },
     { "boragelug_view_in_doubt", "1 while the view is in doubt, otherwise 0.", single },
--- a/drivers/udp_socket.cpp
+++ b/drivers/udp_socket.cpp
@@ -11,6 +11,8 @@
 
 // The longest UDP datagram over IPv4 is 65,507 bytes.
 constexpr std::size_t bufferSize = 65536;
+// Datagrams that wait are taken without going through the event loop, but timers must not starve.
+constexpr std::size_t maxDatagramsAtOnce = 64;
 
 } // namespace
 
@@ -67,6 +69,18 @@
     receiveNext(state_);
 }
 
+void UdpSocket::receiveWaiting(State &state)
+{
+    for (std::size_t i = 0; i < maxDatagramsAtOnce && !state.closed; ++i) {
+        asio::error_code error;
+        const std::size_t size = state.socket.receive_from(asio::buffer(state.buffer), state.from, 0, error);
+        if (error) {
+            return;
+        }
+        state.receiver(fromUdpEndpoint(state.from), std::span(state.buffer).first(size));
+    }
+}
+
 void UdpSocket::receiveNext(const std::shared_ptr<State> &state)
 {
     state->socket.async_receive_from(
@@ -76,6 +90,7 @@
             }
             if (!error) {
                 state->receiver(fromUdpEndpoint(state->from), std::span(state->buffer).first(size));
+                receiveWaiting(*state);
             }
             // The receiver may have destroyed the socket.
             if (!state->closed) {
--- a/drivers/udp_socket.h
+++ b/drivers/udp_socket.h
@@ -46,6 +46,7 @@
 
 private:
     struct State;
+    static void receiveWaiting(State &state);
     static void receiveNext(const std::shared_ptr<State> &state);
 
     std::shared_ptr<State> state_;
--- a/drivers/yaml_settings.cpp
+++ b/drivers/yaml_settings.cpp
@@ -24,7 +24,7 @@
 /// A VM below this rate can't send its bounded number of probes.
 constexpr std::uint64_t minControlBytesPerSecond = 512;
 
-constexpr std::array<std::pair<std::string_view, LogLevel>, 4> logLevels { {
+constexpr LogLevelWords logLevels { {
     { "debug", LogLevel::Debug },
     { "info", LogLevel::Info },
     { "warning", LogLevel::Warning },
@@ -134,6 +134,11 @@
     return settings;
 }
 
+const LogLevelWords &logLevelWords()
+{
+    return logLevels;
+}
+
 std::string_view logLevelName(LogLevel level)
 {
     for (const auto &[name, value] : logLevels) {
--- a/drivers/yaml_settings.h
+++ b/drivers/yaml_settings.h
@@ -4,7 +4,10 @@
 #include "model/problem.h"
 #include "model/settings.h"
 
+#include <array>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace boragelug
 {
@@ -17,6 +20,11 @@
 /// Doesn't open the key file; see loadKey(). Thread-safe.
 Outcome<Settings, Problems> loadSettings(const std::string &path);
 
+using LogLevelWords = std::array<std::pair<std::string_view, LogLevel>, 4>;
+
+/// The words for log levels in settings. Thread-safe.
+const LogLevelWords &logLevelWords();
+
 /// Word for @p level in settings and logs. Thread-safe.
 std::string_view logLevelName(LogLevel level);
 
--- /dev/null
+++ b/drivers/yaml_tagged_settings.cpp
@@ -0,0 +1,62 @@
+#include "drivers/yaml_tagged_settings.h"
+
+#include "drivers/yaml_map.h"
+#include "drivers/yaml_settings.h"
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t maxSettingsBytes = 64UL * 1024;
+
+TaggedSettings readSettings(YamlMap &root)
+{
+    TaggedSettings settings;
+    root.name("vm", settings.vm, Presence::Required);
+    root.name("zone", settings.zone, Presence::Required);
+    if (auto endpoints = root.map("endpoints", Presence::Required)) {
+        endpoints->endpoint("packet", settings.packetEndpoint, Presence::Required);
+        endpoints->endpoint("admin", settings.adminEndpoint, Presence::Required);
+        endpoints->rejectUnknownKeys();
+    }
+    root.endpoint("directory", settings.directoryEndpoint, Presence::Required);
+    root.duration("stop_grace", settings.stopGrace, 1s, 1h, Presence::Optional);
+    root.duration("lapse_grace", settings.lapseGrace, 0s, 1min, Presence::Optional);
+    root.number("event_entries", settings.eventRingEntries, 100, 1'000'000, Presence::Optional);
+    root.number("flow_log_lines_per_second", settings.flowLogLinesPerSecond, 0, 10'000, Presence::Optional);
+    root.choice("log_level", settings.logLevel, logLevelWords(), Presence::Optional);
+    root.rejectUnknownKeys();
+    return settings;
+}
+
+} // namespace
+
+Outcome<TaggedSettings, Problems> parseTaggedSettings(const std::string &text, const std::string &file)
+{
+    YamlContext context { file, {}, {} };
+    const auto document = parseYaml(text, context);
+    if (!document) {
+        return Outcome<TaggedSettings, Problems>::failure(std::move(context.problems));
+    }
+    YamlMap root(*document, "", context);
+    TaggedSettings settings = readSettings(root);
+    if (!context.problems.empty()) {
+        return Outcome<TaggedSettings, Problems>::failure(std::move(context.problems));
+    }
+    return settings;
+}
+
+Outcome<TaggedSettings, Problems> loadTaggedSettings(const std::string &path)
+{
+    YamlContext context { path, {}, {} };
+    const auto text = readTextFile(path, maxSettingsBytes, context);
+    if (!text) {
+        return Outcome<TaggedSettings, Problems>::failure(std::move(context.problems));
+    }
+    return parseTaggedSettings(*text, path);
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/model/directory_record.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time_point.h"
+#include "model/catalogue.h"
+#include "model/endpoint.h"
+#include "model/upstream.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boragelug
+{
+
+/// Position in the directory's history of changes; grows with each change of any record.
+using DirectoryRevision = StrongType<struct DirectoryRevisionTag, std::uint64_t>;
+
+/// What a directory says of one upstream. Services and zones have names only; the view numbers them.
+struct UpstreamRecord
+{
+    UpstreamId id;
+    Incarnation incarnation;
+    std::string service;
+    std::string zone;
+    /// Receives packets over UDP and status checks over TCP.
+    Endpoint address;
+    /// Requests that the host works on at the same time.
+    std::uint32_t slots = 1;
+    UpstreamState state = UpstreamState::Active;
+    /// How much longer the host is slow after its start, when the record was written.
+    Duration coldLeft {};
+
+    bool operator==(const UpstreamRecord &) const = default;
+};
+
+/// A service that an entry sends new flows to, and its part of them.
+struct ServiceShare
+{
+    std::string service;
+    std::uint32_t weight = 1;
+
+    bool operator==(const ServiceShare &) const = default;
+};
+
+/// One address that callers use.
+struct EntryRecord
+{
+    EntryName name;
+    Endpoint address;
+    std::vector<ServiceShare> services;
+
+    bool operator==(const EntryRecord &) const = default;
+};
+
+/// The operators' whole configuration at one version.
+struct CatalogueRecord
+{
+    CatalogueVersion version;
+    std::vector<EntryRecord> entries;
+    /// A flow without packets for longer may be forgotten; nothing if the catalogue doesn't say.
+    std::optional<Duration> flowIdleTimeout;
+
+    bool operator==(const CatalogueRecord &) const = default;
+};
+
+/// A record that names nothing to use; @c reason says why.
+struct UnreadableRecord
+{
+    std::string reason;
+
+    bool operator==(const UnreadableRecord &) const = default;
+};
+
+/// The key has no record any more.
+struct RemovedRecord
+{
+    bool operator==(const RemovedRecord &) const = default;
+};
+
+/// One key of the directory at one revision.
+struct DirectoryItem
+{
+    std::string key;
+    DirectoryRevision revision;
+    std::variant<UpstreamRecord, CatalogueRecord, UnreadableRecord, RemovedRecord> content;
+
+    bool operator==(const DirectoryItem &) const = default;
+};
+
+/// A call to make. The directory is only read and watched.
+struct DirectoryCall
+{
+    enum class Kind : std::uint8_t { List, Watch };
+
+    /// Returned with the answer; unique within one process.
+    std::uint64_t id = 0;
+    Kind kind = Kind::List;
+    /// List: the last key of the previous page; empty for the first page.
+    std::string afterKey;
+    /// Watch: changes after this revision are wanted.
+    DirectoryRevision after;
+    /// Watch: how long the directory may wait for a change before it answers.
+    Duration wait {};
+    /// When the call is given up, counted from its start.
+    Duration timeout {};
+};
+
+/// One page of all records. Pages of one listing are no snapshot.
+struct DirectoryPage
+{
+    std::vector<DirectoryItem> items;
+    bool more = false;
+    /// Where the next page continues; may be the key of a record that @c items leaves out.
+    std::string lastKey;
+    DirectoryRevision asOf;
+};
+
+/// Changes in the order in which they were made; empty when the wait is over.
+struct DirectoryChanges
+{
+    std::vector<DirectoryItem> items;
+    DirectoryRevision asOf;
+};
+
+/// Why a call brought no records.
+enum class DirectoryError : std::uint8_t {
+    Unreachable,
+    TimedOut,
+    Throttled,
+    ServerFailure,
+    /// The history since the asked revision is gone: list again.
+    HistoryLost,
+    Malformed
+};
+
+/// A failed call.
+struct DirectoryFailure
+{
+    DirectoryError error = DirectoryError::Unreachable;
+    std::string detail;
+};
+
+/// Answer to a DirectoryCall.
+struct DirectoryAnswer
+{
+    std::uint64_t callId = 0;
+    std::variant<DirectoryFailure, DirectoryPage, DirectoryChanges> result;
+};
+
+} // namespace boragelug
--- /dev/null
+++ b/model/directory_view.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time_point.h"
+#include "model/directory_record.h"
+#include "model/endpoint.h"
+#include "model/upstream.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace boragelug
+{
+
+/// Whether the directory lists an upstream.
+enum class Listing : std::uint8_t {
+    Listed,
+    /// Its record vanished around an outage of the directory and may come back; it still takes new flows.
+    Lapsed,
+    /// Its record is gone; it only keeps the flows that it has.
+    Gone,
+};
+
+/// An upstream with what this VM knows of it.
+struct DirectoryUpstream
+{
+    Upstream upstream;
+    Listing listing = Listing::Listed;
+    std::uint32_t slots = 1;
+    /// When this VM first saw this incarnation; the epoch for those of the first listing.
+    TimePoint knownSince;
+    /// The host is slow after its start until then.
+    TimePoint coldUntil;
+    /// When its record vanished; only for Lapsed and Gone.
+    TimePoint vanishedAt;
+};
+
+/// An entry with the numbers of its services.
+struct DirectoryEntry
+{
+    EntryName name;
+    Endpoint address;
+    /// Service and weight; never empty, weights are positive.
+    std::vector<std::pair<ServiceId, std::uint32_t>> services;
+};
+
+/**
+ * What one VM has read from the directory. Immutable once published: readers share it by pointer to const.
+ *
+ * Entries are sorted by address. Numbers of services and zones are local to the process.
+ */
+struct DirectoryView
+{
+    CatalogueVersion version;
+    DirectoryRevision revision;
+    ZoneId selfZone;
+    /// A flow without packets for longer may be forgotten.
+    Duration flowIdleTimeout {};
+    std::vector<DirectoryEntry> entries;
+    std::vector<DirectoryUpstream> upstreams;
+};
+
+} // namespace boragelug
--- /dev/null
+++ b/model/tagged_settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/time_point.h"
+#include "model/endpoint.h"
+#include "model/settings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace boragelug
+{
+
+/// What a process of a fabric with flow tags reads from its settings file. Immutable after loading.
+struct TaggedSettings
+{
+    /// Name of this VM, unique in the fleet.
+    std::string vm;
+    /// Name of the availability zone.
+    std::string zone;
+    /// Receives packets from the fabric (UDP).
+    Endpoint packetEndpoint;
+    /// Serves /readyz, /metrics and the other operator paths (TCP).
+    Endpoint adminEndpoint;
+    /// The directory that holds catalogue and upstreams (TCP).
+    Endpoint directoryEndpoint;
+    /// Time between the stop signal and the moment at which the process is killed.
+    Duration stopGrace = std::chrono::seconds(6);
+    /// How long records may take to come back after an outage of the directory.
+    Duration lapseGrace = std::chrono::milliseconds(2500);
+    std::uint32_t eventRingEntries = 2000;
+    std::uint32_t flowLogLinesPerSecond = 20;
+    LogLevel logLevel = LogLevel::Info;
+
+    bool operator==(const TaggedSettings &) const = default;
+};
+
+} // namespace boragelug
--- /dev/null
+++ b/node/tagged_node.cpp
@@ -0,0 +1,222 @@
+#include "node/tagged_node.h"
+
+#include "core/hash.h"
+
+#include <array>
+#include <utility>
+
+namespace boragelug
+{
+namespace
+{
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string_view reasonName(PlacementReason reason)
+{
+    constexpr std::array<std::string_view, 3> names { "first", "repeated", "other_after_no_answer" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+EventNumber eventOf(MirrorChange::Kind kind)
+{
+    switch (kind) {
+    case MirrorChange::Kind::CatalogueAdopted:
+        return EventNumber::CatalogueAdopted;
+    case MirrorChange::Kind::CatalogueIgnored:
+        return EventNumber::CatalogueStale;
+    case MirrorChange::Kind::UpstreamAppeared:
+        return EventNumber::UpstreamAppeared;
+    case MirrorChange::Kind::UpstreamDraining:
+        return EventNumber::UpstreamDraining;
+    case MirrorChange::Kind::UpstreamLapsed:
+        return EventNumber::UpstreamLapsed;
+    case MirrorChange::Kind::UpstreamGone:
+        return EventNumber::UpstreamGone;
+    case MirrorChange::Kind::RecordUnreadable:
+        return EventNumber::RecordUnreadable;
+    }
+    return EventNumber::RecordUnreadable;
+}
+
+} // namespace
+
+std::uint64_t flowCause(const Endpoint &caller, const Endpoint &entry)
+{
+    return combineHash(combineHash(caller.address.value, caller.port.value),
+                       combineHash(entry.address.value, entry.port.value));
+}
+
+std::string_view taggedRefusalName(TaggedRefusal reason)
+{
+    constexpr std::array<std::string_view, taggedRefusalCount> names {
+        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag"
+    };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+TaggedNode::TaggedNode(const TaggedNodeSettings &settings, TimePoint now)
+    : settings_(settings)
+    , mirror_(settings.mirror)
+    , reader_(mirror_, settings.reader)
+    , router_(settings.routing)
+    , random_(settings.seed)
+    , flowLines_(settings.flowLinesPerSecond, settings.flowLinesPerSecond, now)
+{ }
+
+TaggedDecision TaggedNode::handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events)
+{
+    lastPacket_ = now;
+    const TaggedDecision decision = router_.route(packet, reader_.isFresh(now), now);
+    noteDecision(packet, decision, now, events);
+    return decision;
+}
+
+void TaggedNode::noteDecision(const FlowPacket &packet,
+                              const TaggedDecision &decision,
+                              TimePoint now,
+                              std::vector<NodeEvent> &events)
+{
+    const auto *forward = std::get_if<ForwardPacket>(&decision);
+    if (forward != nullptr && !forward->placed) {
+        return;
+    }
+    if (!flowLines_.take(1, now)) {
+        ++flowLinesLeftOut_;
+        return;
+    }
+    NodeEvent event { .number = EventNumber::FlowPlaced,
+                      .causeId = flowCause(packet.caller, packet.entry),
+                      .fields = { { "caller", toString(packet.caller) }, { "entry", toString(packet.entry) } } };
+    if (forward != nullptr) {
+        event.fields.emplace_back("upstream", causeText(forward->upstream.value));
+        event.fields.emplace_back("address", toString(forward->address));
+        event.fields.emplace_back("reason", reasonName(forward->reason));
+        event.fields.emplace_back("cost", std::to_string(forward->cost));
+        event.fields.emplace_back("compared", std::to_string(forward->compared));
+    } else {
+        const auto *reset = std::get_if<ResetFlow>(&decision);
+        event.number = reset != nullptr ? EventNumber::FlowRefused : EventNumber::PacketDropped;
+        const TaggedRefusal reason = reset != nullptr ? reset->reason : std::get<IgnorePacket>(decision).reason;
+        event.fields.emplace_back("reason", taggedRefusalName(reason));
+    }
+    event.fields.emplace_back("catalogue", std::to_string(view_ ? view_->version.value : 0));
+    event.fields.emplace_back("revision", std::to_string(view_ ? view_->revision.value : 0));
+    event.fields.emplace_back("view_age_ms", viewAgeText(now));
+    if (flowLinesLeftOut_ > 0) {
+        event.fields.emplace_back("left_out", std::to_string(std::exchange(flowLinesLeftOut_, 0)));
+    }
+    events.push_back(std::move(event));
+}
+
+std::optional<Duration> TaggedNode::viewAge(TimePoint now) const
+{
+    return lastAnswer_ ? std::optional(now - *lastAnswer_) : std::nullopt;
+}
+
+std::string TaggedNode::viewAgeText(TimePoint now) const
+{
+    return lastAnswer_ ? milliseconds(now - *lastAnswer_) : "none";
+}
+
+std::vector<NodeEvent> TaggedNode::handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now)
+{
+    std::vector<NodeEvent> events;
+    const ReaderOutcome outcome = reader_.handleAnswer(answer, now, random_);
+    if (!std::holds_alternative<DirectoryFailure>(answer.result)) {
+        lastAnswer_ = now;
+    }
+    if (outcome.failure) {
+        events.push_back({ .number = outcome.lost ? EventNumber::PlatformUnreachable : EventNumber::DirectoryCallFailed,
+                           .causeId = 0,
+                           .fields = { { "reason", outcome.failure->detail },
+                                       { "in_a_row", std::to_string(outcome.failures) },
+                                       { "view_age_ms", viewAgeText(now) } } });
+    }
+    if (outcome.regained) {
+        events.push_back({ .number = EventNumber::PlatformReachable, .causeId = 0, .fields = {} });
+    }
+    appendChanges(outcome.changes, events);
+    publish(now);
+    if (isReady() && !wasReady_) {
+        wasReady_ = true;
+        events.push_back({ .number = EventNumber::ProcessReady,
+                           .causeId = 0,
+                           .fields = { { "catalogue", std::to_string(view_->version.value) },
+                                       { "upstreams", std::to_string(view_->upstreams.size()) } } });
+    }
+    return events;
+}
+
+void TaggedNode::appendChanges(const std::vector<MirrorChange> &changes, std::vector<NodeEvent> &events) const
+{
+    for (const MirrorChange &change : changes) {
+        NodeEvent event { .number = eventOf(change.kind),
+                          .causeId = 0,
+                          .fields = { { "key", change.key }, { "revision", std::to_string(change.revision.value) } } };
+        if (!change.detail.empty()) {
+            event.fields.emplace_back("detail", change.detail);
+        }
+        events.push_back(std::move(event));
+    }
+}
+
+void TaggedNode::publish(TimePoint now)
+{
+    // Before the first listing is complete, hosts that it didn't reach yet would count as missing.
+    if (!reader_.isComplete()) {
+        return;
+    }
+    auto published = mirror_.publish();
+    if (published != view_) {
+        view_ = std::move(published);
+        router_.applyView(view_, now);
+    }
+}
+
+std::vector<NodeEvent> TaggedNode::tick(TimePoint now)
+{
+    std::vector<NodeEvent> events;
+    if (lastTick_ && now - *lastTick_ > settings_.pauseThreshold) {
+        reader_.noteSleep(now);
+        events.push_back({ .number = EventNumber::ProcessSlept,
+                           .causeId = 0,
+                           .fields = { { "milliseconds", milliseconds(now - *lastTick_) } } });
+    }
+    lastTick_ = now;
+    appendChanges(mirror_.tick(now), events);
+    publish(now);
+    for (const UpstreamBelief &belief : router_.tick(now)) {
+        events.push_back({ .number = belief.avoided ? EventNumber::UpstreamEjected : EventNumber::UpstreamRecovered,
+                           .causeId = 0,
+                           .fields = { { "upstream", causeText(belief.upstream.value) },
+                                       { "misses", std::to_string(belief.misses) },
+                                       { "since_progress_ms", milliseconds(belief.sinceProgress) } } });
+    }
+    return events;
+}
+
+std::vector<NodeEvent> TaggedNode::beginDrain(TimePoint now)
+{
+    std::vector<NodeEvent> events;
+    if (!drainStart_) {
+        drainStart_ = now;
+        events.push_back({ .number = EventNumber::ProcessDraining, .causeId = 0, .fields = {} });
+    }
+    return events;
+}
+
+bool TaggedNode::isDrained(TimePoint now) const
+{
+    if (!drainStart_) {
+        return false;
+    }
+    const bool quiet = !lastPacket_ || now - *lastPacket_ >= settings_.quietTime;
+    const Duration elapsed = now - *drainStart_;
+    return elapsed >= settings_.drainBound || (quiet && elapsed >= settings_.rotationExit);
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/node/tagged_node.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/token_bucket.h"
+#include "model/directory_record.h"
+#include "model/flow_packet.h"
+#include "node/node_action.h"
+#include "routing/tagged_router.h"
+#include "views/directory_mirror.h"
+#include "views/directory_reader.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace boragelug
+{
+
+/// Fixed properties of a TaggedNode.
+struct TaggedNodeSettings
+{
+    MirrorSettings mirror;
+    ReaderSettings reader;
+    TaggedRouterSettings routing;
+    /// After a longer gap between ticks the process acts on old state.
+    Duration pauseThreshold = std::chrono::seconds(1);
+    /// Time that the fabric takes to notice that this VM leaves: two missed checks at two a second, and a margin.
+    Duration rotationExit = std::chrono::milliseconds(1300);
+    /// A leaving VM that gets no packets for this long is no longer used.
+    Duration quietTime = std::chrono::milliseconds(400);
+    /// Longest time from the start of a drain until the process may exit.
+    Duration drainBound = std::chrono::milliseconds(5500);
+    /// Log lines of flows; whole flows are left out beyond it.
+    double flowLinesPerSecond = 20;
+    std::uint64_t seed = 1;
+};
+
+/**
+ * One entry VM of a fabric that carries a flow tag: joins the directory's view and routing.
+ *
+ * Does no I/O and reads no clock: inputs and time are arguments, and what to do is returned. The same settings, inputs
+ * and times give the same actions. Not synchronized: one thread at a time; times must not go back.
+ */
+class TaggedNode
+{
+public:
+    TaggedNode(const TaggedNodeSettings &settings, TimePoint now);
+
+    /// Decides on one packet of a caller; what operators may want to know is added to @p events.
+    TaggedDecision handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events);
+
+    /// The directory answered a call of this node.
+    std::vector<NodeEvent> handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now);
+
+    /// The call to the directory that is due, if any. To be asked after every input and at nextCallAt().
+    std::optional<DirectoryCall> nextCall(TimePoint now) { return reader_.nextCall(now); }
+
+    /// When nextCall() is due; nothing while a call is in progress.
+    std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
+
+    /// Does what is due. Call it every 100 ms.
+    std::vector<NodeEvent> tick(TimePoint now);
+
+    /// Starts to leave: the VM is no longer ready, and serves on until the fabric has noticed.
+    std::vector<NodeEvent> beginDrain(TimePoint now);
+
+    /// Whether a drain is over.
+    bool isDrained(TimePoint now) const;
+
+    /// Whether the VM takes new flows.
+    bool isReady() const { return reader_.isComplete() && !drainStart_; }
+
+    bool isDraining() const { return drainStart_.has_value(); }
+
+    /// Changes the longest time of a drain, also of one in progress.
+    void setDrainBound(Duration bound) { settings_.drainBound = bound; }
+
+    const TaggedRouter &router() const { return router_; }
+    const std::shared_ptr<const DirectoryView> &view() const { return view_; }
+    /// Whether the last answer of the directory is recent.
+    bool isFresh(TimePoint now) const { return reader_.isFresh(now); }
+    /// Time since the last answer of the directory; nothing before the first.
+    std::optional<Duration> viewAge(TimePoint now) const;
+
+private:
+    void publish(TimePoint now);
+    void noteDecision(const FlowPacket &packet,
+                      const TaggedDecision &decision,
+                      TimePoint now,
+                      std::vector<NodeEvent> &events);
+    void appendChanges(const std::vector<MirrorChange> &changes, std::vector<NodeEvent> &events) const;
+    std::string viewAgeText(TimePoint now) const;
+
+    TaggedNodeSettings settings_;
+    DirectoryMirror mirror_;
+    DirectoryReader reader_;
+    TaggedRouter router_;
+    Random random_;
+    std::shared_ptr<const DirectoryView> view_;
+    TokenBucket flowLines_;
+    std::uint64_t flowLinesLeftOut_ = 0;
+    bool wasReady_ = false;
+    std::optional<TimePoint> lastAnswer_;
+    std::optional<TimePoint> lastTick_;
+    std::optional<TimePoint> lastPacket_;
+    std::optional<TimePoint> drainStart_;
+};
+
+/// Identifies a flow in events: a hash of both ends. Thread-safe.
+std::uint64_t flowCause(const Endpoint &caller, const Endpoint &entry);
+
+/// Name of a reason as events and metrics show it. Thread-safe.
+std::string_view taggedRefusalName(TaggedRefusal reason);
+
+} // namespace boragelug
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -3,7 +3,11 @@
 #include "drivers/http_platform.h"
 #include "drivers/prometheus_metrics.h"
 #include "drivers/yaml_settings.h"
+#include "drivers/yaml_tagged_settings.h"
+#include "platform/store_directory.h"
+#include "platform/udp_flow_fabric.h"
 #include "programs/entry_process.h"
+#include "programs/tagged_process.h"
 
 #include <array>
 #include <exception>
@@ -22,6 +26,9 @@
 
 using namespace boragelug;
 
+/// Log lines that wait for a slow reader; more are dropped.
+constexpr std::size_t maxWaitingLogBytes = 256UL * 1024;
+
 /// Passes stderr to the log, which wants shared ownership of its stream.
 std::shared_ptr<std::ostream> errorStream()
 {
@@ -51,6 +58,7 @@
 Runs one entry VM: forwards flows and dispatches requests.
 
   -s, --settings=FILE    settings in YAML, see docs/operations.md
+  -t, --flow-tags        the fabric carries a flow tag: forward flows only, with the settings of that mode
   -c, --check            check settings and key file, then exit
   -h, --help             show this text
   -V, --version          show the version
@@ -72,6 +80,7 @@
     std::string portsFile;
     bool kernelPorts = false;
     bool check = false;
+    bool flowTags = false;
     /// Set when the process has nothing more to do.
     std::optional<int> exitCode;
 };
@@ -91,6 +100,9 @@
     case 'c':
         options.check = true;
         break;
+    case 't':
+        options.flowTags = true;
+        break;
     case 'h':
         std::cout << helpText;
         options.exitCode = EX_OK;
@@ -119,9 +131,10 @@
 
 Options parseOptions(int argc, char **argv)
 {
-    static const std::array<option, 8> known { {
+    static const std::array<option, 9> known { {
         { "settings", required_argument, nullptr, 's' },
         { "check", no_argument, nullptr, 'c' },
+        { "flow-tags", no_argument, nullptr, 't' },
         { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, 'V' },
         { "ports", required_argument, nullptr, 'p' },
@@ -131,7 +144,7 @@
     } };
     Options options;
     while (!options.exitCode) {
-        const int option = getopt_long(argc, argv, "s:chV", known.data(), nullptr);
+        const int option = getopt_long(argc, argv, "s:chtV", known.data(), nullptr);
         if (option < 0) {
             break;
         }
@@ -145,18 +158,59 @@
     return options;
 }
 
+int settingsError(const Problems &problems)
+{
+    for (const Problem &problem : problems) {
+        std::cerr << "boragelugd: " << toString(problem) << '\n';
+    }
+    return EX_CONFIG;
+}
+
+int runTagged(const Options &options)
+{
+    const auto settings = loadTaggedSettings(options.settings);
+    if (!settings) {
+        return settingsError(settings.lastReason());
+    }
+    if (options.check) {
+        std::cout << options.settings << ": settings are valid\n";
+        return EX_OK;
+    }
+    AsioRuntime runtime;
+    const Incarnation incarnation { runtime.clock().wallMicroseconds() };
+    PrometheusMetrics metrics;
+    LogBuffer logBuffer(STDOUT_FILENO, maxWaitingLogBytes);
+    BoostLogSink log(std::make_shared<std::ostream>(&logBuffer), static_cast<EventSeverity>(settings->logLevel));
+    EventRecorder events(vmNumber(settings->vm), incarnation, settings->eventRingEntries, runtime.clock(), &log);
+    UdpFlowFabric fabric(runtime.context(), settings->packetEndpoint, metrics);
+    StoreDirectory directory(runtime.context(), settings->directoryEndpoint);
+    TaggedProcess process({ .runtime = runtime,
+                            .fabric = fabric,
+                            .directory = directory,
+                            .metrics = metrics,
+                            .events = events,
+                            .log = log,
+                            .logBuffer = logBuffer },
+                          *settings,
+                          options.settings,
+                          incarnation);
+    process.start();
+    runtime.run();
+    return EX_OK;
+}
+
 int runDaemon(const Options &options)
 {
     if (access(options.settings.c_str(), R_OK) != 0) {
         std::cerr << "boragelugd: " << options.settings << " is not readable\n";
         return EX_NOINPUT;
     }
+    if (options.flowTags) {
+        return runTagged(options);
+    }
     auto settings = loadSettings(options.settings);
     if (!settings) {
-        for (const Problem &problem : settings.lastReason()) {
-            std::cerr << "boragelugd: " << toString(problem) << '\n';
-        }
-        return EX_CONFIG;
+        return settingsError(settings.lastReason());
     }
     const auto key = loadKey(settings->keyFile);
     if (!key) {
--- a/programs/node_admin.cpp
+++ b/programs/node_admin.cpp
@@ -83,6 +83,7 @@
     , events_(events)
     , clock_(clock)
     , metrics_(metrics)
+    , totals_(metrics)
 { }
 
 ReadinessReport NodeAdmin::readiness() const
@@ -164,8 +165,8 @@
         return;
     }
     exportRouting();
-    exportTotal("boragelug_request_duplicates_total", state_.node->dispatcher().counters().copies);
-    exportTotal("boragelug_request_retries_total", state_.node->dispatcher().counters().retried);
+    totals_.add("boragelug_request_duplicates_total", state_.node->dispatcher().counters().copies);
+    totals_.add("boragelug_request_retries_total", state_.node->dispatcher().counters().retried);
     const StatusReport report = status();
     metrics_.set("boragelug_catalogue_version", static_cast<double>(report.catalogueVersion.value), {});
     metrics_.set("boragelug_view_in_doubt", report.inDoubt ? 1 : 0, {});
@@ -174,7 +175,7 @@
     metrics_.set("boragelug_members", report.membersSuspect, { { "health", "suspect" } });
     metrics_.set("boragelug_members", report.membersDead, { { "health", "dead" } });
     for (const auto &[reason, count] : report.refused) {
-        exportTotal("boragelug_flows_refused_total", count, { { "reason", reason } });
+        totals_.add("boragelug_flows_refused_total", count, { { "reason", reason } });
     }
     for (const ServiceStatus &service : report.services) {
         exportService(service);
@@ -185,13 +186,13 @@
 {
     const RoutingCounters &routing = state_.node->router().counters();
     const auto mismatch = static_cast<std::size_t>(RefuseReason::ServiceMismatch);
-    exportTotal("boragelug_packets_redirected_total", routing.redirected);
-    exportTotal("boragelug_packets_guessed_total", routing.guessed);
-    exportTotal("boragelug_service_mismatch_total", routing.refused[mismatch]);
-    exportTotal("boragelug_flows_placed_total", routing.placed);
-    exportTotal("boragelug_flows_broken_total", routing.broken);
-    exportTotal("boragelug_flows_evicted_total", routing.evictedTransient, { { "state", "transient" } });
-    exportTotal("boragelug_flows_evicted_total", routing.evictedEstablished, { { "state", "established" } });
+    totals_.add("boragelug_packets_redirected_total", routing.redirected);
+    totals_.add("boragelug_packets_guessed_total", routing.guessed);
+    totals_.add("boragelug_service_mismatch_total", routing.refused[mismatch]);
+    totals_.add("boragelug_flows_placed_total", routing.placed);
+    totals_.add("boragelug_flows_broken_total", routing.broken);
+    totals_.add("boragelug_flows_evicted_total", routing.evictedTransient, { { "state", "transient" } });
+    totals_.add("boragelug_flows_evicted_total", routing.evictedEstablished, { { "state", "established" } });
     metrics_.set("boragelug_flow_table_entries", static_cast<double>(state_.node->router().gauges().flows), {});
 }
 
@@ -206,11 +207,4 @@
     metrics_.set("boragelug_upstreams", service.leaving, { name, { "state", "leaving" } });
 }
 
-void NodeAdmin::exportTotal(const std::string &counter, std::uint64_t total, const MetricLabels &labels)
-{
-    std::uint64_t &last = exported_[{ counter, labels }];
-    metrics_.add(counter, static_cast<double>(total - last), labels);
-    last = total;
-}
-
 } // namespace boragelug
--- a/programs/node_admin.h
+++ b/programs/node_admin.h
@@ -4,6 +4,7 @@
 #include "drivers/prometheus_metrics.h"
 #include "model/settings.h"
 #include "node/entry_node.h"
+#include "programs/total_exporter.h"
 #include "servers/admin_source.h"
 
 #include <cstdint>
@@ -49,8 +50,6 @@
 private:
     void exportRouting();
     void exportService(const ServiceStatus &service);
-    /// Adds what a counter of the node gained since the last call for the same name and labels.
-    void exportTotal(const std::string &counter, std::uint64_t total, const MetricLabels &labels = {});
 
     const Settings &settings_;
     Incarnation incarnation_;
@@ -58,8 +57,7 @@
     const EventRecorder &events_;
     const Clock &clock_;
     PrometheusMetrics &metrics_;
-    /// Totals already exported, by name and labels.
-    std::map<std::pair<std::string, MetricLabels>, std::uint64_t> exported_;
+    TotalExporter totals_;
 };
 
 } // namespace boragelug
--- /dev/null
+++ b/programs/tagged_process.cpp
@@ -0,0 +1,179 @@
+#include "programs/tagged_process.h"
+
+#include "drivers/yaml_tagged_settings.h"
+
+#include <chrono>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+namespace boragelug
+{
+namespace
+{
+
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+constexpr Duration secondInterval = std::chrono::seconds(1);
+/// Kept between the end of a drain and the moment at which the process would be killed.
+constexpr Duration stopMargin = std::chrono::milliseconds(500);
+
+TaggedNodeSettings nodeSettings(const TaggedSettings &settings, Incarnation incarnation)
+{
+    TaggedNodeSettings out;
+    out.mirror.zone = settings.zone;
+    out.mirror.lapseGrace = settings.lapseGrace;
+    out.drainBound = settings.stopGrace - stopMargin;
+    out.flowLinesPerSecond = settings.flowLogLinesPerSecond;
+    out.seed = vmNumber(settings.vm).value ^ incarnation.value;
+    out.routing.seed = out.seed;
+    return out;
+}
+
+} // namespace
+
+TaggedProcess::TaggedProcess(const TaggedProcessParts &parts,
+                             const TaggedSettings &settings,
+                             std::string settingsPath,
+                             Incarnation incarnation)
+    : parts_(parts)
+    , settings_(settings)
+    , settingsPath_(std::move(settingsPath))
+    , node_(nodeSettings(settings, incarnation), now())
+    , admin_(settings_, incarnation, node_, parts.events, parts.runtime.clock(), parts.metrics)
+    , adminServer_(parts.runtime.context(), admin_, parts.runtime.clock(), parts.metrics)
+    , callTimer_(parts.runtime.context())
+{
+    const std::string error = adminServer_.start(settings.adminEndpoint);
+    if (!error.empty()) {
+        throw std::runtime_error("admin server: " + error);
+    }
+}
+
+void TaggedProcess::start()
+{
+    parts_.events.record(EventNumber::ProcessStarted,
+                         0,
+                         { { "vm_name", settings_.vm },
+                           { "zone", settings_.zone },
+                           { "packet", toString(settings_.packetEndpoint) },
+                           { "admin", toString(adminServer_.localEndpoint()) },
+                           { "directory", toString(settings_.directoryEndpoint) } });
+    parts_.runtime.onSignal(SIGTERM, [this] { handleStopSignal(); });
+    parts_.runtime.onSignal(SIGINT, [this] { handleStopSignal(); });
+    parts_.runtime.onSignal(SIGHUP, [this] { reloadSettings(); });
+    callDirectory();
+    parts_.fabric.start(
+        [this](const FlowPacket &head, std::span<const std::byte> packet) { receivePacket(head, packet); });
+    parts_.runtime.every(tickInterval, [this] { tick(); });
+    parts_.runtime.every(secondInterval, [this] { admin_.exportMetrics(); });
+}
+
+void TaggedProcess::receivePacket(const FlowPacket &head, std::span<const std::byte> packet)
+{
+    packetEvents_.clear();
+    const TaggedDecision decision = node_.handlePacket(head, now(), packetEvents_);
+    bool sent = true;
+    if (const auto *forward = std::get_if<ForwardPacket>(&decision)) {
+        sent = parts_.fabric.forward(packet, forward->tag, forward->upstream, forward->address);
+    } else if (std::holds_alternative<ResetFlow>(decision)) {
+        sent = parts_.fabric.reset(head);
+    }
+    if (!sent) {
+        parts_.metrics.add("boragelug_packet_send_failures_total", 1, {});
+    }
+    record(std::move(packetEvents_));
+}
+
+void TaggedProcess::callDirectory()
+{
+    if (const auto call = node_.nextCall(now())) {
+        parts_.metrics.add("boragelug_directory_calls_total", 1, {});
+        const TimePoint startedAt = now();
+        const Duration wait = call->wait;
+        parts_.directory.call(*call, [this, startedAt, wait](const DirectoryAnswer &answer) {
+            if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
+                parts_.metrics.add("boragelug_directory_failures_total", 1, { { "reason", failure->detail } });
+            } else if (wait == Duration::zero()) {
+                const std::chrono::duration<double> seconds = now() - startedAt;
+                parts_.metrics.observe("boragelug_directory_read_seconds", seconds.count(), {});
+            }
+            record(node_.handleDirectoryAnswer(answer, now()));
+            callDirectory();
+        });
+    }
+    scheduleCall();
+}
+
+void TaggedProcess::scheduleCall()
+{
+    const auto at = node_.nextCallAt();
+    if (!at) {
+        return;
+    }
+    callTimer_.expires_after(std::max(*at - now(), Duration::zero()));
+    callTimer_.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            callDirectory();
+        }
+    });
+}
+
+void TaggedProcess::tick()
+{
+    record(node_.tick(now()));
+    parts_.logBuffer.drain();
+    if (node_.isDrained(now())) {
+        stop();
+    }
+}
+
+void TaggedProcess::record(std::vector<NodeEvent> events)
+{
+    for (NodeEvent &event : events) {
+        parts_.events.record(event.number, event.causeId, std::move(event.fields));
+    }
+}
+
+void TaggedProcess::handleStopSignal()
+{
+    if (node_.isDraining()) {
+        stop();
+        return;
+    }
+    record(node_.beginDrain(now()));
+}
+
+void TaggedProcess::reloadSettings()
+{
+    const auto loaded = loadTaggedSettings(settingsPath_);
+    if (!loaded) {
+        const std::string reason = loaded.lastReason().empty() ? "unreadable" : toString(loaded.lastReason().front());
+        parts_.events.record(EventNumber::SettingsRejected, 0, { { "reason", reason } });
+        return;
+    }
+    TaggedSettings changed = settings_;
+    changed.logLevel = loaded->logLevel;
+    changed.stopGrace = loaded->stopGrace;
+    if (changed != *loaded) {
+        parts_.events.record(EventNumber::SettingsRejected,
+                             0,
+                             { { "reason", "only log_level and stop_grace may change in a running process" } });
+        return;
+    }
+    settings_ = changed;
+    parts_.log.setLeast(static_cast<EventSeverity>(settings_.logLevel));
+    node_.setDrainBound(settings_.stopGrace - stopMargin);
+    parts_.events.record(EventNumber::SettingsReloaded, 0, {});
+}
+
+void TaggedProcess::stop()
+{
+    parts_.events.record(EventNumber::ProcessStopped,
+                         0,
+                         { { "open_flows", std::to_string(node_.router().trackedFlows()) },
+                           { "log_lines_dropped", std::to_string(parts_.logBuffer.droppedLines()) } });
+    parts_.logBuffer.drain();
+    parts_.runtime.stop();
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/routing/tagged_router.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "core/random.h"
+#include "model/directory_view.h"
+#include "model/flow_packet.h"
+#include "routing/tagged_placement.h"
+#include "routing/upstream_signals.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace boragelug
+{
+
+/// Fixed properties of a TaggedRouter.
+struct TaggedRouterSettings
+{
+    SignalSettings signals;
+    TaggedPlacementSettings placement;
+    /// A new upstream gets flows when all VMs should have read of it: the pause between their watches plus an answer.
+    Duration settleTime = std::chrono::milliseconds(1500);
+    /// A repeated SYN goes to the same upstream if the first one left this VM less than this before: both then waited
+    /// in this VM's queue. Callers repeat after 200 ms.
+    Duration synRepeatGap = std::chrono::milliseconds(120);
+    /// Time after which a flow that didn't open or that has ended is forgotten; callers give up opening after 1.4 s.
+    Duration endedFlowMemory = std::chrono::seconds(2);
+    /// Flows of which this VM keeps a record. Flows beyond are routed just the same, but tell nothing.
+    std::size_t maxTrackedFlows = 100'000;
+    std::uint64_t seed = 1;
+};
+
+/// Why a packet was reset or dropped.
+enum class TaggedRefusal : std::uint8_t {
+    NoView, ///< The directory hasn't been read yet.
+    UnknownEntry, ///< No catalogue entry has the destination address.
+    NoUpstream, ///< The entry's service has no upstream that may take a flow.
+    UnknownTag, ///< No known upstream has the packet's tag.
+    ForeignTag, ///< The tag's upstream serves none of the entry's services.
+};
+
+/// Number of values of TaggedRefusal.
+inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::ForeignTag) + 1;
+
+/// Why a new flow went where it did.
+enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
+
+/// Sends the packet to an upstream.
+struct ForwardPacket
+{
+    UpstreamId upstream;
+    Endpoint address;
+    FlowTag tag;
+    /// Set in the first packet of a flow.
+    bool placed = false;
+    PlacementReason reason = PlacementReason::First;
+    /// Cost of the chosen upstream, and how many were compared; only when placed.
+    double cost = 0;
+    std::size_t compared = 0;
+};
+
+/// Tells the caller that the flow can't be served.
+struct ResetFlow
+{
+    TaggedRefusal reason = TaggedRefusal::UnknownEntry;
+};
+
+/// Says nothing, because this VM can't be sure.
+struct IgnorePacket
+{
+    TaggedRefusal reason = TaggedRefusal::UnknownEntry;
+};
+
+using TaggedDecision = std::variant<ForwardPacket, ResetFlow, IgnorePacket>;
+
+/// Counters since the start of a TaggedRouter.
+struct TaggedCounters
+{
+    std::uint64_t forwarded = 0;
+    std::uint64_t placed = 0;
+    std::uint64_t placedElsewhere = 0;
+    std::uint64_t placedRemote = 0;
+    std::uint64_t repeatedData = 0;
+    std::uint64_t misses = 0;
+    std::array<std::uint64_t, taggedRefusalCount> resets {};
+    std::array<std::uint64_t, taggedRefusalCount> ignored {};
+};
+
+/// Use of one upstream as this VM sees it.
+struct UpstreamUse
+{
+    UpstreamId upstream;
+    Incarnation incarnation;
+    std::uint32_t openFlows = 0;
+    std::uint32_t busyFlows = 0;
+    bool avoided = false;
+};
+
+/// A change of what this VM believes of an upstream.
+struct UpstreamBelief
+{
+    UpstreamId upstream;
+    bool avoided = false;
+    std::uint32_t misses = 0;
+    Duration sinceProgress {};
+};
+
+/**
+ * Routes the packets of a fabric that carries a flow tag.
+ *
+ * The tag names the upstream, so that any VM routes any packet after the first without a table or a peer. What is kept
+ * of flows serves placement and judgement only; it may be lost at any time. Does no I/O and reads no clock. Not
+ * synchronized: one thread at a time; times must not go back.
+ */
+class TaggedRouter
+{
+public:
+    explicit TaggedRouter(const TaggedRouterSettings &settings);
+
+    /// Replaces the view. Precondition: @p view isn't null.
+    void applyView(std::shared_ptr<const DirectoryView> view, TimePoint now);
+
+    /// Decides on one packet. @p viewIsFresh says whether the view is recent enough to refuse what it doesn't hold.
+    TaggedDecision route(const FlowPacket &packet, bool viewIsFresh, TimePoint now);
+
+    /// Forgets old flows. To be called about ten times a second; returns changed beliefs.
+    std::vector<UpstreamBelief> tick(TimePoint now);
+
+    /// Use of all upstreams that have flows on this VM.
+    std::vector<UpstreamUse> use() const;
+
+    const TaggedCounters &counters() const { return counters_; }
+    std::size_t trackedFlows() const { return flows_.size(); }
+
+private:
+    struct Host
+    {
+        DirectoryUpstream status;
+        FlowTag tag;
+        UpstreamSignals signals;
+        std::uint32_t open = 0;
+        std::uint32_t busy = 0;
+        bool reportedAvoided = false;
+    };
+
+    enum class FlowPhase : std::uint8_t { Opening, Open, Ended };
+
+    struct Flow
+    {
+        std::shared_ptr<Host> host;
+        FlowPhase phase = FlowPhase::Opening;
+        bool busy = false;
+        /// The packet in flight was already counted as missed.
+        bool missed = false;
+        std::uint32_t synSequence = 0;
+        std::uint32_t nextSequence = 0;
+        std::uint32_t acknowledged = 0;
+        TimePoint lastPacket;
+        TimePoint synSentAt;
+        /// Upstreams that didn't answer an earlier copy of the SYN.
+        std::array<UpstreamId, 2> tried {};
+    };
+
+    using HostKey = std::pair<std::uint64_t, std::uint64_t>;
+    using FlowId = std::pair<Endpoint, Endpoint>;
+
+    const DirectoryEntry *findEntry(const Endpoint &address) const;
+    std::shared_ptr<Host> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
+    TaggedDecision routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now);
+    TaggedDecision place(
+        const FlowPacket &packet, const DirectoryEntry &entry, PlacementReason reason, bool viewIsFresh, TimePoint now);
+    std::vector<std::shared_ptr<Host>>
+    candidates(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now);
+    PlacementCandidate candidateFacts(const Host &host, TimePoint now) const;
+    void track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
+    void trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
+    void setBusy(Flow &flow, bool busy);
+    void setPhase(Flow &flow, FlowPhase phase);
+    void moveTo(Flow &flow, const std::shared_ptr<Host> &host);
+    void release(Flow &flow);
+    TaggedDecision refuse(TaggedRefusal reason, bool sure);
+
+    TaggedRouterSettings settings_;
+    Random random_;
+    std::shared_ptr<const DirectoryView> view_;
+    std::map<HostKey, std::shared_ptr<Host>> hosts_;
+    /// Hosts that may take new flows, by service; those of the own zone first.
+    absl::flat_hash_map<ServiceId, std::vector<std::shared_ptr<Host>>> placeable_;
+    /// All hosts by tag, the earliest incarnation first.
+    absl::flat_hash_map<FlowTag, std::vector<std::shared_ptr<Host>>> byTag_;
+    absl::flat_hash_map<FlowId, Flow> flows_;
+    TimePoint nextSweep_;
+    TaggedCounters counters_;
+};
+
+} // namespace boragelug
--- /dev/null
+++ b/routing/upstream_signals.cpp
@@ -0,0 +1,38 @@
+#include "routing/upstream_signals.h"
+
+#include <algorithm>
+
+namespace boragelug
+{
+
+void noteProgress(UpstreamSignals &signals, TimePoint now)
+{
+    signals.lastProgress = now;
+    signals.misses = 0;
+    signals.avoided = 0;
+    signals.avoidUntil = {};
+}
+
+void noteMiss(UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
+{
+    ++signals.misses;
+    signals.lastMiss = now;
+    if (signals.misses < settings.missesToAvoid || now < signals.avoidUntil) {
+        return;
+    }
+    const std::uint32_t doublings = std::min<std::uint32_t>(signals.avoided, 8);
+    signals.avoidUntil = now + std::min(settings.firstAvoidance * (1U << doublings), settings.maxAvoidance);
+    ++signals.avoided;
+}
+
+bool isAvoided(const UpstreamSignals &signals, TimePoint now)
+{
+    return now < signals.avoidUntil;
+}
+
+bool isDoubted(const UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
+{
+    return signals.misses > 0 && now - signals.lastMiss < settings.missMemory;
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/views/directory_mirror.cpp
@@ -0,0 +1,251 @@
+#include "views/directory_mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragelug
+{
+namespace
+{
+
+// Removals are remembered so that a late page of a listing can't bring a record back.
+constexpr std::size_t maxRememberedRemovals = 10'000;
+
+MirrorChange makeChange(MirrorChange::Kind kind, const DirectoryItem &item, std::string detail)
+{
+    return { .kind = kind, .key = item.key, .upstream = {}, .revision = item.revision, .detail = std::move(detail) };
+}
+
+} // namespace
+
+DirectoryMirror::DirectoryMirror(MirrorSettings settings)
+    : settings_(std::move(settings))
+    , flowIdleTimeout_(settings_.flowIdleTimeout)
+{
+    zoneNumber(settings_.zone);
+}
+
+ServiceId DirectoryMirror::serviceNumber(const std::string &name)
+{
+    const auto next = static_cast<std::uint32_t>(services_.size() + 1);
+    return services_.try_emplace(name, ServiceId { next }).first->second;
+}
+
+ZoneId DirectoryMirror::zoneNumber(const std::string &name)
+{
+    const auto next = static_cast<std::uint16_t>(zones_.size() + 1);
+    return zones_.try_emplace(name, ZoneId { next }).first->second;
+}
+
+std::vector<MirrorChange> DirectoryMirror::applyPage(const DirectoryPage &page, TimePoint now)
+{
+    std::vector<MirrorChange> changes;
+    for (const DirectoryItem &item : page.items) {
+        listed_[item.key] = item.revision;
+        apply(item, now, changes);
+    }
+    return changes;
+}
+
+std::vector<MirrorChange> DirectoryMirror::endListing(TimePoint now)
+{
+    std::vector<MirrorChange> changes;
+    std::vector<std::pair<std::string, DirectoryRevision>> missing;
+    for (const auto &[key, known] : upstreams_) {
+        if (!listed_.contains(key) && known.status.listing == Listing::Listed) {
+            missing.emplace_back(key, known.revision);
+        }
+    }
+    for (const auto &[key, revision] : missing) {
+        vanish(key, revision, now, changes);
+    }
+    listed_.clear();
+    firstListingDone_ = true;
+    return changes;
+}
+
+std::vector<MirrorChange> DirectoryMirror::applyChanges(const DirectoryChanges &answer, TimePoint now)
+{
+    std::vector<MirrorChange> changes;
+    for (const DirectoryItem &item : answer.items) {
+        apply(item, now, changes);
+    }
+    revision_ = std::max(revision_, answer.asOf);
+    return changes;
+}
+
+void DirectoryMirror::apply(const DirectoryItem &item, TimePoint now, std::vector<MirrorChange> &changes)
+{
+    revision_ = std::max(revision_, item.revision);
+    if (const auto *catalogue = std::get_if<CatalogueRecord>(&item.content)) {
+        applyCatalogue(item, *catalogue, changes);
+    } else if (const auto *upstream = std::get_if<UpstreamRecord>(&item.content)) {
+        applyUpstream(item, *upstream, now, changes);
+    } else if (std::holds_alternative<RemovedRecord>(item.content)) {
+        vanish(item.key, item.revision, now, changes);
+    } else {
+        changes.push_back(
+            makeChange(MirrorChange::Kind::RecordUnreadable, item, std::get<UnreadableRecord>(item.content).reason));
+        vanish(item.key, item.revision, now, changes);
+    }
+}
+
+void DirectoryMirror::applyCatalogue(const DirectoryItem &item,
+                                     const CatalogueRecord &record,
+                                     std::vector<MirrorChange> &changes)
+{
+    if (item.revision <= catalogueRevision_ || record.version <= version_) {
+        if (record.version < version_) {
+            changes.push_back(
+                makeChange(MirrorChange::Kind::CatalogueIgnored, item, std::to_string(record.version.value)));
+        }
+        return;
+    }
+    catalogueRevision_ = item.revision;
+    version_ = record.version;
+    flowIdleTimeout_ = record.flowIdleTimeout.value_or(settings_.flowIdleTimeout);
+    entries_.clear();
+    entries_.reserve(record.entries.size());
+    for (const EntryRecord &entry : record.entries) {
+        DirectoryEntry numbered { .name = entry.name, .address = entry.address, .services = {} };
+        for (const ServiceShare &share : entry.services) {
+            numbered.services.emplace_back(serviceNumber(share.service), share.weight);
+        }
+        entries_.push_back(std::move(numbered));
+    }
+    std::sort(entries_.begin(), entries_.end(), [](const auto &a, const auto &b) { return a.address < b.address; });
+    published_.reset();
+    changes.push_back(makeChange(MirrorChange::Kind::CatalogueAdopted, item, std::to_string(record.version.value)));
+}
+
+void DirectoryMirror::applyUpstream(const DirectoryItem &item,
+                                    const UpstreamRecord &record,
+                                    TimePoint now,
+                                    std::vector<MirrorChange> &changes)
+{
+    const auto removed = removedAt_.find(item.key);
+    if (removed != removedAt_.end() && item.revision <= removed->second) {
+        return;
+    }
+    const auto found = upstreams_.find(item.key);
+    if (found != upstreams_.end() && item.revision <= found->second.revision) {
+        return;
+    }
+    DirectoryUpstream status;
+    status.upstream = { .id = record.id,
+                        .incarnation = record.incarnation,
+                        .service = serviceNumber(record.service),
+                        .zone = zoneNumber(record.zone),
+                        .tunnelEndpoint = record.address,
+                        .httpEndpoint = record.address,
+                        .state = record.state };
+    status.slots = record.slots;
+    status.knownSince = firstListingDone_ ? now : TimePoint {};
+    status.coldUntil = now + record.coldLeft;
+    const bool same = found != upstreams_.end() && found->second.status.upstream.incarnation == record.incarnation;
+    const bool wasDraining = same && found->second.status.upstream.state != UpstreamState::Active;
+    if (same) {
+        status.knownSince = found->second.status.knownSince;
+    } else if (found != upstreams_.end()) {
+        retire(found->second, now);
+    }
+    upstreams_[item.key] = { .revision = item.revision, .status = status };
+    published_.reset();
+    const bool draining = record.state != UpstreamState::Active;
+    if (!same || (draining && !wasDraining)) {
+        MirrorChange change = makeChange(
+            draining ? MirrorChange::Kind::UpstreamDraining : MirrorChange::Kind::UpstreamAppeared, item, record.zone);
+        change.upstream = record.id;
+        changes.push_back(std::move(change));
+    }
+}
+
+void DirectoryMirror::vanish(const std::string &key,
+                             DirectoryRevision revision,
+                             TimePoint now,
+                             std::vector<MirrorChange> &changes)
+{
+    const auto found = upstreams_.find(key);
+    if (found == upstreams_.end() || revision < found->second.revision
+        || found->second.status.listing != Listing::Listed) {
+        return;
+    }
+    DirectoryUpstream &status = found->second.status;
+    const bool afterOutage = outageEnd_ && now - *outageEnd_ < settings_.lapseGrace;
+    const bool lapsed = afterOutage && status.upstream.state == UpstreamState::Active;
+    status.listing = lapsed ? Listing::Lapsed : Listing::Gone;
+    status.vanishedAt = now;
+    found->second.revision = revision;
+    published_.reset();
+    changes.push_back({ .kind = lapsed ? MirrorChange::Kind::UpstreamLapsed : MirrorChange::Kind::UpstreamGone,
+                        .key = key,
+                        .upstream = status.upstream.id,
+                        .revision = revision,
+                        .detail = {} });
+}
+
+void DirectoryMirror::retire(const Known &known, TimePoint now)
+{
+    DirectoryUpstream earlier = known.status;
+    if (earlier.listing != Listing::Gone) {
+        earlier.listing = Listing::Gone;
+        earlier.vanishedAt = now;
+    }
+    retired_.push_back(earlier);
+}
+
+std::vector<MirrorChange> DirectoryMirror::tick(TimePoint now)
+{
+    std::vector<MirrorChange> changes;
+    for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+        DirectoryUpstream &status = it->second.status;
+        if (status.listing == Listing::Lapsed && now - status.vanishedAt >= settings_.lapseGrace) {
+            status.listing = Listing::Gone;
+            published_.reset();
+            changes.push_back({ .kind = MirrorChange::Kind::UpstreamGone,
+                                .key = it->first,
+                                .upstream = status.upstream.id,
+                                .revision = it->second.revision,
+                                .detail = "not back after the outage" });
+        }
+        if (status.listing == Listing::Gone && now - status.vanishedAt >= settings_.goneRetention) {
+            if (removedAt_.size() >= maxRememberedRemovals) {
+                removedAt_.clear();
+            }
+            removedAt_[it->first] = it->second.revision;
+            published_.reset();
+            it = upstreams_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    const auto expired = [&](const DirectoryUpstream &earlier) {
+        return now - earlier.vanishedAt >= settings_.goneRetention;
+    };
+    if (std::erase_if(retired_, expired) > 0) {
+        published_.reset();
+    }
+    return changes;
+}
+
+std::shared_ptr<const DirectoryView> DirectoryMirror::publish()
+{
+    if (published_) {
+        return published_;
+    }
+    auto view = std::make_shared<DirectoryView>();
+    view->version = version_;
+    view->revision = revision_;
+    view->selfZone = zoneNumber(settings_.zone);
+    view->flowIdleTimeout = flowIdleTimeout_;
+    view->entries = entries_;
+    view->upstreams.reserve(upstreams_.size() + retired_.size());
+    for (const auto &[key, known] : upstreams_) {
+        view->upstreams.push_back(known.status);
+    }
+    view->upstreams.insert(view->upstreams.end(), retired_.begin(), retired_.end());
+    published_ = std::move(view);
+    return published_;
+}
+
+} // namespace boragelug
