Let changes of the directory collect for a quarter of their bound

Change: the pause follows the deployment's bound for changes (3 s: 0.75 s, 5 s: 1.25 s), and new upstreams settle for the pause and one second more. The rest of the bound is left for a slow answer and a failed call.

Fewer readers, with views passed on between VMs, would save most of what is left.

--- a/drivers/yaml_tagged_settings.cpp
+++ b/drivers/yaml_tagged_settings.cpp
@@ -24,6 +24,7 @@
     }
     root.endpoint("directory", settings.directoryEndpoint, Presence::Required);
     root.duration("stop_grace", settings.stopGrace, 1s, 1h, Presence::Optional);
+    root.duration("change_bound", settings.changeBound, 1s, 1min, Presence::Optional);
     root.duration("lapse_grace", settings.lapseGrace, 0s, 1min, Presence::Optional);
     root.number("event_entries", settings.eventRingEntries, 100, 1'000'000, Presence::Optional);
     root.number("flow_log_lines_per_second", settings.flowLogLinesPerSecond, 0, 10'000, Presence::Optional);
--- a/model/tagged_settings.h
+++ b/model/tagged_settings.h
@@ -26,6 +26,8 @@
     Endpoint directoryEndpoint;
     /// Time between the stop signal and the moment at which the process is killed.
     Duration stopGrace = std::chrono::seconds(6);
+    /// A change of the directory has to be in force on every VM within this time.
+    Duration changeBound = std::chrono::seconds(3);
     /// How long records may take to come back after an outage of the directory.
     Duration lapseGrace = std::chrono::milliseconds(2500);
     std::uint32_t eventRingEntries = 2000;
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -16,12 +16,19 @@
 constexpr Duration secondInterval = std::chrono::seconds(1);
 /// Kept between the end of a drain and the moment at which the process would be killed.
 constexpr Duration stopMargin = std::chrono::milliseconds(500);
+/// Part of the bound for changes in which they may collect before the next call: the rest is left for a slow answer and
+/// a failed call.
+constexpr int collectDivisor = 4;
+/// Time after the collection in which all VMs have read of a new upstream.
+constexpr Duration settleMargin = std::chrono::seconds(1);
 
 TaggedNodeSettings nodeSettings(const TaggedSettings &settings, Incarnation incarnation)
 {
     TaggedNodeSettings out;
     out.mirror.zone = settings.zone;
     out.mirror.lapseGrace = settings.lapseGrace;
+    out.reader.collectTime = settings.changeBound / collectDivisor;
+    out.routing.settleTime = out.reader.collectTime + settleMargin;
     out.drainBound = settings.stopGrace - stopMargin;
     out.flowLinesPerSecond = settings.flowLogLinesPerSecond;
     out.seed = vmNumber(settings.vm).value ^ incarnation.value;
@@ -64,6 +71,7 @@
     callDirectory();
     parts_.fabric.start(
         [this](const FlowPacket &head, std::span<const std::byte> packet) { receivePacket(head, packet); });
+    parts_.logBuffer.drain();
     parts_.runtime.every(tickInterval, [this] { tick(); });
     parts_.runtime.every(secondInterval, [this] { admin_.exportMetrics(); });
 }
