--- /dev/null
+++ b/tests/platform/store_codec_test.cpp
@@ -0,0 +1,175 @@
+#include "platform/store_codec.h"
+#include "platform/store_directory.h"
+
+#include <absl/strings/escaping.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace boragelug
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+Json item(const std::string &key, std::uint64_t revision, const std::string &value)
+{
+    return { { "key", key },
+             { "value", absl::Base64Escape(value) },
+             { "revision", revision },
+             { "created", 3 },
+             { "lease", 0 } };
+}
+
+Json hostValue()
+{
+    return { { "service", "huvo11a" }, { "address", "10.128.0.9:8080" },
+             { "zone", "kgd-north" },  { "version", "v1" },
+             { "concurrency", 3 },     { "state", "ready" },
+             { "cold_left_ms", 500 },  { "sequence", 4 },
+             { "born", 1700000000123 } };
+}
+
+Json routeValue(const std::string &name)
+{
+    return { { "name", name }, { "host", "198.18.0.1" }, { "prefix", "/8443/" }, { "service", "huvo11a" } };
+}
+
+DirectoryItem decodeOne(const Json &object)
+{
+    const auto page = decodeStorePage(Json { { "items", { object } }, { "has_more", false }, { "as_of", 9 } }.dump());
+    EXPECT_TRUE(page);
+    EXPECT_EQ(page->items.size(), 1U);
+    return page->items.front();
+}
+
+// Guards the meaning of each field of a host's record.
+TEST(StoreCodec, ReadsAHost)
+{
+    const DirectoryItem read = decodeOne(item("servers/i-7f3a91c2", 7, hostValue().dump()));
+    const auto &record = std::get<UpstreamRecord>(read.content);
+    EXPECT_EQ(record.id.value, 0x7f3a91c2U);
+    EXPECT_EQ(record.incarnation.value, 1700000000123U);
+    EXPECT_EQ(record.service, "huvo11a");
+    EXPECT_EQ(record.zone, "kgd-north");
+    EXPECT_EQ(toString(record.address), "10.128.0.9:8080");
+    EXPECT_EQ(record.slots, 3U);
+    EXPECT_EQ(record.state, UpstreamState::Active);
+    EXPECT_EQ(record.coldLeft, std::chrono::milliseconds(500));
+    EXPECT_EQ(read.revision.value, 7U);
+}
+
+// Guards against records of other writers: each fault makes the record unreadable and nothing else.
+TEST(StoreCodec, TakesFaultyHostsAsUnreadable)
+{
+    std::vector<Json> faulty;
+    for (const char *field : { "service", "address", "zone", "concurrency", "state" }) {
+        Json missing = hostValue();
+        missing.erase(field);
+        faulty.push_back(missing);
+        Json wrong = hostValue();
+        wrong[field] = Json::array({ 1 });
+        faulty.push_back(wrong);
+    }
+    for (const auto &[field, value] : std::vector<std::pair<std::string, Json>> { { "state", "gone" },
+                                                                                  { "address", "10.1.1.1" },
+                                                                                  { "concurrency", 0 },
+                                                                                  { "concurrency", -3 },
+                                                                                  { "born", "now" },
+                                                                                  { "born", 1.5 } }) {
+        Json wrong = hostValue();
+        wrong[field] = value;
+        faulty.push_back(wrong);
+    }
+    for (const Json &value : faulty) {
+        const DirectoryItem read = decodeOne(item("servers/i-1", 7, value.dump()));
+        EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(read.content)) << value.dump();
+    }
+    for (const std::string &bytes :
+         { std::string("\xff\xfe"), std::string(), std::string("[1,2]"), std::string("null") }) {
+        const DirectoryItem read = decodeOne(item("servers/i-1", 7, bytes));
+        EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(read.content));
+    }
+    Json noBase64 = item("servers/i-1", 7, "");
+    noBase64["value"] = "***";
+    EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(decodeOne(noBase64).content));
+}
+
+// Guards the mapping of routes, also of those with weighted parts.
+TEST(StoreCodec, ReadsACatalogue)
+{
+    Json split = routeValue("split");
+    split.erase("service");
+    split["backends"] = { { { "service", "huvo11a" }, { "weight", 90 } },
+                          { { "service", "wuno96b" }, { "weight", 10 } } };
+    const Json value { { "version", 7 },
+                       { "routes", { routeValue("plain"), split } },
+                       { "limits", { { "idle_timeout_ms", 15000 } } } };
+    const auto record = std::get<CatalogueRecord>(decodeOne(item("op/config", 7, value.dump())).content);
+    EXPECT_EQ(record.version.value, 7U);
+    EXPECT_EQ(record.flowIdleTimeout, std::chrono::seconds(15));
+    ASSERT_EQ(record.entries.size(), 2U);
+    EXPECT_EQ(toString(record.entries[0].address), "198.18.0.1:8443");
+    ASSERT_EQ(record.entries[1].services.size(), 2U);
+    EXPECT_EQ(record.entries[1].services[1].weight, 10U);
+}
+
+// Guards order and removals of a watch's changes, and the time that superseded catalogues would cost.
+TEST(StoreCodec, ReadsChanges)
+{
+    const Json value { { "version", 8 }, { "routes", Json::array() } };
+    const Json events { item("op/config", 4, "superseded"),
+                        { { "key", "servers/i-1" }, { "revision", 5 }, { "removed", true } },
+                        item("op/config", 6, value.dump()),
+                        item("other/key", 7, "x") };
+    const auto changes = decodeStoreChanges(Json { { "events", events }, { "as_of", 7 } }.dump());
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->items.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<RemovedRecord>(changes->items[0].content));
+    EXPECT_EQ(std::get<CatalogueRecord>(changes->items[1].content).version.value, 8U);
+    EXPECT_EQ(changes->asOf.value, 7U);
+}
+
+// Guards the calls against characters of keys that mean something in a query.
+TEST(StoreCodec, WritesTargets)
+{
+    DirectoryCall call;
+    EXPECT_EQ(storeTarget(call), "/v1/kv-range?prefix=");
+    call.afterKey = "servers/i 1&x";
+    EXPECT_EQ(storeTarget(call), "/v1/kv-range?prefix=&after=servers%2Fi%201%26x");
+    call.kind = DirectoryCall::Kind::Watch;
+    call.after = DirectoryRevision { 411 };
+    call.wait = std::chrono::milliseconds(2500);
+    EXPECT_EQ(storeTarget(call), "/v1/kv-watch?prefix=&after=411&wait_ms=2500");
+}
+
+HttpCall::Result response(unsigned status, std::string body = {})
+{
+    PlatformHttpResponse made;
+    made.status = status;
+    made.body = std::move(body);
+    return made;
+}
+
+DirectoryError errorOf(const DirectoryCall &call, const HttpCall::Result &result)
+{
+    return std::get<DirectoryFailure>(translateStoreResponse(call, result).result).error;
+}
+
+// Guards the reader's decisions: each answer of the store becomes the project's own error. A watch answer over the size
+// limit must lead to a listing: on a slow link the versions of a catalogue storm kept a VM blind for 24 s.
+TEST(StoreDirectory, TranslatesFailures)
+{
+    DirectoryCall watch;
+    watch.kind = DirectoryCall::Kind::Watch;
+    EXPECT_EQ(errorOf(watch, response(410)), DirectoryError::HistoryLost);
+    EXPECT_EQ(errorOf(watch, response(429)), DirectoryError::Throttled);
+    EXPECT_EQ(errorOf(watch, response(503)), DirectoryError::ServerFailure);
+    EXPECT_EQ(errorOf(watch, response(200, "no JSON")), DirectoryError::Malformed);
+    const auto tooLarge = HttpCall::Result::failure({ HttpCallError::TooLarge, "large" });
+    EXPECT_EQ(errorOf(watch, tooLarge), DirectoryError::HistoryLost);
+    EXPECT_EQ(errorOf(DirectoryCall {}, tooLarge), DirectoryError::Malformed);
+}
+
+} // namespace
+} // namespace boragelug
--- /dev/null
+++ b/tests/routing/tagged_world.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "model/directory_view.h"
+#include "routing/tagged_router.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace boragelug
+{
+
+/// Builds views and packets for tests of the tagged router.
+namespace tagged
+{
+
+inline constexpr ServiceId ledger { 1 };
+inline constexpr ServiceId inspection { 2 };
+inline constexpr ZoneId home { 1 };
+inline constexpr ZoneId away { 2 };
+
+inline Endpoint endpoint(std::uint32_t address, std::uint16_t port)
+{
+    return { .address = Ipv4Address { address }, .port = Port { port } };
+}
+
+inline const Endpoint ledgerEntry = endpoint(0xc6120001, 443);
+inline const Endpoint inspectionEntry = endpoint(0xc6120002, 443);
+
+inline DirectoryUpstream upstream(std::uint64_t id, ServiceId service, ZoneId zone, std::uint64_t incarnation = 1)
+{
+    DirectoryUpstream status;
+    status.upstream.id = UpstreamId { id };
+    status.upstream.incarnation = Incarnation { incarnation };
+    status.upstream.service = service;
+    status.upstream.zone = zone;
+    status.upstream.tunnelEndpoint = endpoint(0x0a000000 + static_cast<std::uint32_t>(id), 8080);
+    status.slots = 3;
+    return status;
+}
+
+inline std::shared_ptr<DirectoryView> view(std::vector<DirectoryUpstream> upstreams)
+{
+    auto made = std::make_shared<DirectoryView>();
+    made->version = CatalogueVersion { 1 };
+    made->selfZone = home;
+    made->flowIdleTimeout = std::chrono::seconds(15);
+    made->entries = {
+        { .name = EntryName { "ledger" }, .address = ledgerEntry, .services = { { ledger, 1 } } },
+        { .name = EntryName { "scans" }, .address = inspectionEntry, .services = { { inspection, 1 } } }
+    };
+    made->upstreams = std::move(upstreams);
+    return made;
+}
+
+inline FlowPacket syn(std::uint32_t caller, std::uint16_t port, const Endpoint &entry = ledgerEntry)
+{
+    FlowPacket packet;
+    packet.caller = endpoint(0x64400000 + caller, port);
+    packet.entry = entry;
+    packet.sequence = 1000;
+    packet.syn = true;
+    return packet;
+}
+
+/// A packet of the open flow that @p opening started, with @p tag, after @p sent bytes of data.
+inline FlowPacket data(const FlowPacket &opening, FlowTag tag, std::uint32_t sent, std::uint32_t acknowledged)
+{
+    FlowPacket packet = opening;
+    packet.syn = false;
+    packet.ack = true;
+    packet.tag = tag;
+    packet.sequence = opening.sequence + 1 + sent;
+    packet.acknowledged = acknowledged;
+    packet.dataBytes = 100;
+    return packet;
+}
+
+/// Where the decision sends the packet; nothing if it doesn't.
+inline std::optional<ForwardPacket> forwarded(const TaggedDecision &decision)
+{
+    const auto *forward = std::get_if<ForwardPacket>(&decision);
+    return forward != nullptr ? std::optional(*forward) : std::nullopt;
+}
+
+} // namespace tagged
+} // namespace boragelug
