Reset repeatable flows at hosts that several flows and a check find silent

A reset lets callers of repeatable requests try again at once, but one lost acknowledgement looks the same as a silent host, and a wrong reset breaks a flow.

Only if nothing comes back, no flow progressed meanwhile, another host of its zone did within 0.4 s, the view is fresh and the entry's requests may be repeated, data is answered by a reset. Each sign that is missing withholds it; each is a test.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -95,6 +95,8 @@
         return "upstream_recovered";
     case EventNumber::UpstreamLapsed:
         return "upstream_lapsed";
+    case EventNumber::UpstreamChecked:
+        return "upstream_checked";
     case EventNumber::PeerMessageDropped:
         return "peer_message_dropped";
     case EventNumber::PeerBudgetExhausted:
--- a/core/event.h
+++ b/core/event.h
@@ -61,6 +61,7 @@
     UpstreamEjected = 503,
     UpstreamRecovered = 504,
     UpstreamLapsed = 505,
+    UpstreamChecked = 506,
     PeerMessageDropped = 600,
     PeerBudgetExhausted = 601,
     OperatorQuery = 700,
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 48> definitions { {
+constexpr std::array<MetricDefinition, 49> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_attempts_cancelled_total", "Attempts at upstreams that were cancelled.", single },
@@ -60,6 +60,7 @@
     { "boragelug_requests_total", "Outcomes of requests, by entry and outcome.", 4 * perEntry },
     { "boragelug_service_mismatch_total", "Packets refused because flow and upstream differ in service.", single },
     { "boragelug_slot_excess", "Slots in use beyond what hosts have, as known to this VM, by service.", perService },
+    { "boragelug_upstream_checks_total", "Checks of the addresses of suspected upstreams.", single },
     { "boragelug_upstream_late_work_total",
       "New work sent to an upstream over 3 s after it was known to leave.",
       single },
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -51,6 +51,8 @@
     EntryName name;
     Endpoint address;
     std::vector<ServiceShare> services;
+    /// Callers may repeat its requests after any failure.
+    bool idempotent = false;
 
     bool operator==(const EntryRecord &) const = default;
 };
--- a/model/directory_view.h
+++ b/model/directory_view.h
@@ -44,6 +44,8 @@
     Endpoint address;
     /// Service and weight; never empty, weights are positive.
     std::vector<std::pair<ServiceId, std::uint32_t>> services;
+    /// Callers may repeat its requests after any failure.
+    bool idempotent = false;
 };
 
 /**
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -53,7 +53,7 @@
 std::string_view taggedRefusalName(TaggedRefusal reason)
 {
     constexpr std::array<std::string_view, taggedRefusalCount> names {
-        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag"
+        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag", "silent_upstream"
     };
     return names.at(static_cast<std::size_t>(reason));
 }
@@ -177,6 +177,16 @@
     }
 }
 
+std::vector<NodeEvent> TaggedNode::handleCheck(const UpstreamCheck &check, bool answered, TimePoint now)
+{
+    router_.noteCheck(check, answered, now);
+    return { { .number = EventNumber::UpstreamChecked,
+               .causeId = 0,
+               .fields = { { "upstream", causeText(check.upstream.value) },
+                           { "address", toString(check.address) },
+                           { "answered", answered ? "yes" : "no" } } } };
+}
+
 std::vector<NodeEvent> TaggedNode::tick(TimePoint now)
 {
     std::vector<NodeEvent> events;
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -59,6 +59,12 @@
     /// When nextCall() is due; nothing while a call is in progress.
     std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
 
+    /// Checks of upstreams that are due. To be asked after every packet.
+    std::vector<UpstreamCheck> takeChecks() { return router_.takeChecks(); }
+
+    /// A check ended; @p answered is false only if nothing at all came back in time.
+    std::vector<NodeEvent> handleCheck(const UpstreamCheck &check, bool answered, TimePoint now);
+
     /// Does what is due. Call it every 100 ms.
     std::vector<NodeEvent> tick(TimePoint now);
 
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -2,6 +2,7 @@
 #include "drivers/file_platform.h"
 #include "drivers/http_platform.h"
 #include "drivers/prometheus_metrics.h"
+#include "drivers/tcp_reachability_probe.h"
 #include "drivers/yaml_settings.h"
 #include "drivers/yaml_tagged_settings.h"
 #include "platform/store_directory.h"
@@ -184,8 +185,10 @@
     EventRecorder events(vmNumber(settings->vm), incarnation, settings->eventRingEntries, runtime.clock(), &log);
     UdpFlowFabric fabric(runtime.context(), settings->packetEndpoint, metrics);
     StoreDirectory directory(runtime.context(), settings->directoryEndpoint);
+    TcpReachabilityProbe probe(runtime.context(), runtime.clock());
     TaggedProcess process({ .runtime = runtime,
                             .fabric = fabric,
+                            .probe = probe,
                             .directory = directory,
                             .metrics = metrics,
                             .events = events,
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -90,6 +90,17 @@
         parts_.metrics.add("boragelug_packet_send_failures_total", 1, {});
     }
     record(std::move(packetEvents_));
+    checkUpstreams();
+}
+
+void TaggedProcess::checkUpstreams()
+{
+    for (const UpstreamCheck &check : node_.takeChecks()) {
+        parts_.metrics.add("boragelug_upstream_checks_total", 1, {});
+        parts_.probe.check(check.address, [this, check](Reachability result) {
+            record(node_.handleCheck(check, result != Reachability::Silent, now()));
+        });
+    }
 }
 
 void TaggedProcess::callDirectory()
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -10,6 +10,7 @@
 #include "programs/tagged_admin.h"
 #include "servers/directory.h"
 #include "servers/flow_fabric.h"
+#include "servers/reachability_probe.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -26,6 +27,7 @@
 {
     AsioRuntime &runtime;
     FlowFabric &fabric;
+    ReachabilityProbe &probe;
     Directory &directory;
     PrometheusMetrics &metrics;
     EventRecorder &events;
@@ -52,6 +54,7 @@
 
 private:
     void receivePacket(const FlowPacket &head, std::span<const std::byte> packet);
+    void checkUpstreams();
     void callDirectory();
     void scheduleCall();
     void tick();
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -146,6 +146,14 @@
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
     track(packet, host, now);
+    if (viewIsFresh && mayReset(packet, *entry, *host, now)) {
+        const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+        if (flow != flows_.end()) {
+            release(flow->second);
+            flows_.erase(flow);
+        }
+        return refuse(TaggedRefusal::SilentUpstream, true);
+    }
     ++counters_.forwarded;
     return ForwardPacket { .upstream = host->status.upstream.id,
                            .address = host->status.upstream.tunnelEndpoint,
@@ -170,8 +178,7 @@
                                .placed = true,
                                .reason = PlacementReason::Repeated };
     }
-    noteMiss(flow.host->signals, settings_.signals, now);
-    ++counters_.misses;
+    miss(*flow.host, now);
     flow.tried = { flow.host->status.upstream.id, flow.tried.front() };
     return place(packet, entry, PlacementReason::OtherAfterNoAnswer, viewIsFresh, now);
 }
@@ -186,7 +193,7 @@
     facts.cold = now < host.status.coldUntil;
     facts.unsettled = host.status.knownSince != TimePoint {} && now - host.status.knownSince < settings_.settleTime;
     facts.doubted = isDoubted(host.signals, settings_.signals, now);
-    facts.avoided = isAvoided(host.signals, now);
+    facts.avoided = isAvoided(host.signals, now) || isSilent(host.signals, settings_.signals, now);
     return facts;
 }
 
@@ -349,8 +356,49 @@
     ++counters_.repeatedData;
     if (!flow.missed) {
         flow.missed = true;
-        noteMiss(flow.host->signals, settings_.signals, now);
-        ++counters_.misses;
+        miss(*flow.host, now);
+    }
+}
+
+void TaggedRouter::miss(Host &host, TimePoint now)
+{
+    ++counters_.misses;
+    noteMiss(host.signals, settings_.signals, now);
+    if (wantsCheck(host.signals, settings_.signals, now)) {
+        checks_.push_back({ .upstream = host.status.upstream.id,
+                            .incarnation = host.status.upstream.incarnation,
+                            .address = host.status.upstream.httpEndpoint });
+    }
+}
+
+// One lost acknowledgement looks the same as a silent host, and a wrong reset breaks a flow of a living host. So misses
+// of several flows, a check without answer and progress of another host of the zone have to agree.
+bool TaggedRouter::mayReset(const FlowPacket &packet,
+                            const DirectoryEntry &entry,
+                            const Host &host,
+                            TimePoint now) const
+{
+    if (!entry.idempotent || packet.dataBytes == 0 || !isSilent(host.signals, settings_.signals, now)) {
+        return false;
+    }
+    return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto &other) {
+        const UpstreamSignals &signals = other.second->signals;
+        return other.second->status.upstream.zone == host.status.upstream.zone
+            && signals.lastProgress > host.signals.checkAskedAt
+            && now - signals.lastProgress < settings_.signals.zoneProgress;
+    });
+}
+
+std::vector<UpstreamCheck> TaggedRouter::takeChecks()
+{
+    return std::exchange(checks_, {});
+}
+
+void TaggedRouter::noteCheck(const UpstreamCheck &check, bool answered, TimePoint now)
+{
+    const auto found = hosts_.find({ check.upstream.value, check.incarnation.value });
+    if (found != hosts_.end()) {
+        boragelug::noteCheck(found->second->signals, answered, now);
     }
 }
 
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -44,10 +44,11 @@
     NoUpstream, ///< The entry's service has no upstream that may take a flow.
     UnknownTag, ///< No known upstream has the packet's tag.
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
+    SilentUpstream, ///< The flow's upstream answers nothing any more, and the caller may try again.
 };
 
 /// Number of values of TaggedRefusal.
-inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::ForeignTag) + 1;
+inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::SilentUpstream) + 1;
 
 /// Why a new flow went where it did.
 enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
@@ -103,6 +104,14 @@
     bool avoided = false;
 };
 
+/// An upstream whose address is to be checked: does anything there still accept or refuse connections?
+struct UpstreamCheck
+{
+    UpstreamId upstream;
+    Incarnation incarnation;
+    Endpoint address;
+};
+
 /// A change of what this VM believes of an upstream.
 struct UpstreamBelief
 {
@@ -133,6 +142,12 @@
     /// Forgets old flows. To be called about ten times a second; returns changed beliefs.
     std::vector<UpstreamBelief> tick(TimePoint now);
 
+    /// Checks that are due since the last call; each is answered with noteCheck().
+    std::vector<UpstreamCheck> takeChecks();
+
+    /// Takes the result of a check. @p answered is false only if nothing at all came back in time.
+    void noteCheck(const UpstreamCheck &check, bool answered, TimePoint now);
+
     /// Use of all upstreams that have flows on this VM.
     std::vector<UpstreamUse> use() const;
 
@@ -181,6 +196,8 @@
     PlacementCandidate candidateFacts(const Host &host, TimePoint now) const;
     void track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
     void trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
+    void miss(Host &host, TimePoint now);
+    bool mayReset(const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, TimePoint now) const;
     void setBusy(Flow &flow, bool busy);
     void setPhase(Flow &flow, FlowPhase phase);
     void moveTo(Flow &flow, const std::shared_ptr<Host> &host);
@@ -196,6 +213,7 @@
     /// All hosts by tag, the earliest incarnation first.
     absl::flat_hash_map<FlowTag, std::vector<std::shared_ptr<Host>>> byTag_;
     absl::flat_hash_map<FlowId, Flow> flows_;
+    std::vector<UpstreamCheck> checks_;
     TimePoint nextSweep_;
     TaggedCounters counters_;
 };
--- a/routing/upstream_signals.cpp
+++ b/routing/upstream_signals.cpp
@@ -11,6 +11,7 @@
     signals.misses = 0;
     signals.avoided = 0;
     signals.avoidUntil = {};
+    signals.silentSince = {};
 }
 
 void noteMiss(UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
@@ -30,6 +31,26 @@
     return now < signals.avoidUntil;
 }
 
+bool wantsCheck(UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
+{
+    if (signals.misses < settings.missesToAvoid || now - signals.checkAskedAt < settings.checkInterval) {
+        return false;
+    }
+    signals.checkAskedAt = now;
+    return true;
+}
+
+void noteCheck(UpstreamSignals &signals, bool answered, TimePoint now)
+{
+    const bool progressMeanwhile = signals.lastProgress >= signals.checkAskedAt;
+    signals.silentSince = answered || progressMeanwhile ? TimePoint {} : now;
+}
+
+bool isSilent(const UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
+{
+    return signals.silentSince != TimePoint {} && now - signals.silentSince < settings.silenceMemory;
+}
+
 bool isDoubted(const UpstreamSignals &signals, const SignalSettings &settings, TimePoint now)
 {
     return signals.misses > 0 && now - signals.lastMiss < settings.missMemory;
--- a/routing/upstream_signals.h
+++ b/routing/upstream_signals.h
@@ -21,6 +21,10 @@
     TimePoint avoidUntil;
     /// Times that the upstream was avoided without progress in between.
     std::uint32_t avoided = 0;
+    /// When a check of the host's address was asked for last.
+    TimePoint checkAskedAt;
+    /// When a check found that nothing answers at the host's address; the epoch if none did since the last progress.
+    TimePoint silentSince;
 };
 
 /// Times and counts of the judgement of upstreams.
@@ -33,6 +37,12 @@
     Duration maxAvoidance = std::chrono::seconds(4);
     /// How long a single miss makes other upstreams preferable.
     Duration missMemory = std::chrono::seconds(2);
+    /// Pause between two checks of a suspected upstream, since each has a price.
+    Duration checkInterval = std::chrono::seconds(1);
+    /// How long the result of a check counts.
+    Duration silenceMemory = std::chrono::milliseconds(2500);
+    /// Another upstream of the zone has to have made progress this lately; otherwise the way to the zone may be harmed.
+    Duration zoneProgress = std::chrono::milliseconds(400);
 };
 
 /// A caller acknowledged something new of the upstream.
@@ -44,6 +54,15 @@
 /// Whether the upstream is to get no new flows now.
 bool isAvoided(const UpstreamSignals &signals, TimePoint now);
 
+/// Whether the upstream's address is to be checked now; the caller then does so.
+bool wantsCheck(UpstreamSignals &signals, const SignalSettings &settings, TimePoint now);
+
+/// Takes the result of a check that was asked for at UpstreamSignals::checkAskedAt.
+void noteCheck(UpstreamSignals &signals, bool answered, TimePoint now);
+
+/// Whether flows and a check agree that the upstream is silent.
+bool isSilent(const UpstreamSignals &signals, const SignalSettings &settings, TimePoint now);
+
 /// Whether a recent miss speaks against the upstream.
 bool isDoubted(const UpstreamSignals &signals, const SignalSettings &settings, TimePoint now);
 
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -188,6 +188,121 @@
     EXPECT_TRUE(used.contains(1));
 }
 
+/// Flows at a host that fell silent, and a neighbour that goes on answering.
+class SilentHostTest : public TaggedRouterTest
+{
+protected:
+    SilentHostTest()
+    {
+        show({ upstream(1, ledger, home), upstream(2, ledger, home), upstream(3, inspection, home) });
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            route(data(syn(1, port), tagOf(1), 0, 1));
+        }
+        now += 200ms;
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            route(data(syn(1, port), tagOf(1), 0, 1));
+        }
+    }
+
+    static FlowTag tagOf(std::uint64_t id) { return flowTagOf(UpstreamId { id }, Incarnation { 1 }); }
+
+    /// The neighbour's flow gets answers.
+    void neighbourProgresses()
+    {
+        acknowledged += 100;
+        route(data(syn(9, 9), tagOf(2), acknowledged, acknowledged));
+    }
+
+    void answerChecks(bool answered)
+    {
+        now += 160ms;
+        for (const UpstreamCheck &check : router.takeChecks()) {
+            ++checks;
+            router.noteCheck(check, answered, now);
+        }
+    }
+
+    bool isReset(const FlowPacket &packet)
+    {
+        return std::holds_alternative<ResetFlow>(router.route(packet, true, now));
+    }
+
+    std::uint32_t acknowledged = 1;
+    int checks = 0;
+};
+
+// Guards callers of a silently crashed host: they learn at once that they have to try again elsewhere.
+TEST_F(SilentHostTest, ResetsRepeatableRequestsOnceAllSignsAgree)
+{
+    neighbourProgresses();
+    answerChecks(false);
+    EXPECT_EQ(checks, 1);
+    neighbourProgresses();
+    EXPECT_TRUE(isReset(data(syn(1, 1), tagOf(1), 0, 1)));
+    EXPECT_TRUE(isReset(data(syn(1, 7), tagOf(1), 0, 1))) << "a flow that this VM sees for the first time";
+}
+
+// Guards living hosts against a wrong reset: each missing or contrary sign withholds it.
+TEST_F(SilentHostTest, WithholdsTheResetInDoubt)
+{
+    neighbourProgresses();
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1))) << "no check yet";
+    answerChecks(true);
+    neighbourProgresses();
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1))) << "something answers at the address";
+}
+
+// Guards hosts behind a harmed way: if no other host of the zone answers either, the zone may be cut off.
+TEST_F(SilentHostTest, WithholdsTheResetWhenTheZoneIsSilent)
+{
+    answerChecks(false);
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1)));
+    neighbourProgresses();
+    neighbourProgresses();
+    now += 500ms;
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1))) << "the neighbour's progress is too old";
+}
+
+// Guards a host that answered a flow while it was checked.
+TEST_F(SilentHostTest, WithholdsTheResetAfterProgress)
+{
+    route(data(syn(1, 2), tagOf(1), 100, 500));
+    neighbourProgresses();
+    answerChecks(false);
+    neighbourProgresses();
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1)));
+}
+
+// Guards requests that may not be repeated, other hosts, acknowledgements, and VMs whose view is old.
+TEST_F(SilentHostTest, ResetsNothingElse)
+{
+    neighbourProgresses();
+    answerChecks(false);
+    neighbourProgresses();
+    EXPECT_FALSE(isReset(data(syn(1, 20), tagOf(2), 0, 1)));
+    EXPECT_FALSE(isReset(data(syn(1, 21, inspectionEntry), tagOf(3), 0, 1)));
+    FlowPacket acknowledgement = data(syn(1, 1), tagOf(1), 0, 1);
+    acknowledgement.dataBytes = 0;
+    EXPECT_FALSE(isReset(acknowledgement));
+    const auto old = router.route(data(syn(1, 1), tagOf(1), 0, 1), false, now);
+    EXPECT_FALSE(std::holds_alternative<ResetFlow>(old));
+}
+
+// Guards the price of checks, and hosts that come back: a verdict holds for a while only.
+TEST_F(SilentHostTest, ChecksAtMostOnceASecondAndForgets)
+{
+    neighbourProgresses();
+    answerChecks(false);
+    for (std::uint16_t port = 30; port < 60; ++port) {
+        route(data(syn(1, port), tagOf(1), 0, 1));
+        route(data(syn(1, port), tagOf(1), 0, 1));
+    }
+    EXPECT_TRUE(router.takeChecks().empty());
+    now += 3s;
+    neighbourProgresses();
+    EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1)));
+}
+
 // Guards the pattern "all VMs back at once": a VM without records learns the load of hosts from the flows it sees.
 TEST_F(TaggedRouterTest, LearnsLoadFromFlowsOfEarlierVms)
 {
--- a/tests/routing/tagged_world.h
+++ b/tests/routing/tagged_world.h
@@ -47,8 +47,11 @@
     made->selfZone = home;
     made->flowIdleTimeout = std::chrono::seconds(15);
     made->entries = {
-        { .name = EntryName { "ledger" }, .address = ledgerEntry, .services = { { ledger, 1 } } },
-        { .name = EntryName { "scans" }, .address = inspectionEntry, .services = { { inspection, 1 } } }
+        { .name = EntryName { "ledger" }, .address = ledgerEntry, .services = { { ledger, 1 } }, .idempotent = true },
+        { .name = EntryName { "scans" },
+          .address = inspectionEntry,
+          .services = { { inspection, 1 } },
+          .idempotent = false }
     };
     made->upstreams = std::move(upstreams);
     return made;
