Add a fault soak; sample flow lines by flow; serve metrics at a fixed port

Change: boragelug_soak runs daemons as processes among stand-ins for store, hosts, callers and fabric, with faults by one seed's plan, and checks eight promises. FlowSampler keeps all lines of a flow in a second or none; flows that something happened to have a budget of their own. The admin server listens at a second endpoint for the monitoring system.

--- a/drivers/yaml_tagged_settings.cpp
+++ b/drivers/yaml_tagged_settings.cpp
@@ -20,6 +20,11 @@
     if (auto endpoints = root.map("endpoints", Presence::Required)) {
         endpoints->endpoint("packet", settings.packetEndpoint, Presence::Required);
         endpoints->endpoint("admin", settings.adminEndpoint, Presence::Required);
+        Endpoint metrics;
+        endpoints->endpoint("metrics", metrics, Presence::Optional);
+        if (metrics != Endpoint {}) {
+            settings.metricsEndpoint = metrics;
+        }
         endpoints->rejectUnknownKeys();
     }
     root.endpoint("directory", settings.directoryEndpoint, Presence::Required);
--- a/model/tagged_settings.h
+++ b/model/tagged_settings.h
@@ -5,6 +5,7 @@
 #include "model/settings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     Endpoint packetEndpoint;
     /// Serves /readyz, /metrics and the other operator paths (TCP).
     Endpoint adminEndpoint;
+    /// Serves the same once more where the monitoring system expects it (TCP).
+    std::optional<Endpoint> metricsEndpoint;
     /// The directory that holds catalogue and upstreams (TCP).
     Endpoint directoryEndpoint;
     /// Time between the stop signal and the moment at which the process is killed.
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -58,13 +58,14 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
-TaggedNode::TaggedNode(const TaggedNodeSettings &settings, TimePoint now)
+TaggedNode::TaggedNode(const TaggedNodeSettings &settings)
     : settings_(settings)
     , mirror_(settings.mirror)
     , reader_(mirror_, settings.reader)
     , router_(settings.routing)
     , random_(settings.seed)
-    , flowLines_(settings.flowLinesPerSecond, settings.flowLinesPerSecond, now)
+    , placementLines_(settings.flowLinesPerSecond)
+    , problemLines_(settings.flowLinesPerSecond)
 { }
 
 TaggedDecision TaggedNode::handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events)
@@ -84,12 +85,14 @@
     if (forward != nullptr && !forward->placed) {
         return;
     }
-    if (!flowLines_.take(1, now)) {
-        ++flowLinesLeftOut_;
+    const std::uint64_t cause = flowCause(packet.caller, packet.entry);
+    const bool ordinary = forward != nullptr && forward->reason == PlacementReason::First;
+    FlowSampler &lines = ordinary ? placementLines_ : problemLines_;
+    if (!lines.admit(cause, now)) {
         return;
     }
     NodeEvent event { .number = EventNumber::FlowPlaced,
-                      .causeId = flowCause(packet.caller, packet.entry),
+                      .causeId = cause,
                       .fields = { { "caller", toString(packet.caller) }, { "entry", toString(packet.entry) } } };
     if (forward != nullptr) {
         event.fields.emplace_back("upstream", causeText(forward->upstream.value));
@@ -106,8 +109,8 @@
     event.fields.emplace_back("catalogue", std::to_string(view_ ? view_->version.value : 0));
     event.fields.emplace_back("revision", std::to_string(view_ ? view_->revision.value : 0));
     event.fields.emplace_back("view_age_ms", viewAgeText(now));
-    if (flowLinesLeftOut_ > 0) {
-        event.fields.emplace_back("left_out", std::to_string(std::exchange(flowLinesLeftOut_, 0)));
+    if (const std::uint64_t leftOut = lines.takeLeftOut(); leftOut > 0) {
+        event.fields.emplace_back("flow_lines_left_out", std::to_string(leftOut));
     }
     events.push_back(std::move(event));
 }
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "core/flow_sampler.h"
 #include "core/random.h"
-#include "core/token_bucket.h"
 #include "model/directory_record.h"
 #include "model/flow_packet.h"
 #include "node/node_action.h"
@@ -45,7 +45,7 @@
 class TaggedNode
 {
 public:
-    TaggedNode(const TaggedNodeSettings &settings, TimePoint now);
+    explicit TaggedNode(const TaggedNodeSettings &settings);
 
     /// Decides on one packet of a caller; what operators may want to know is added to @p events.
     TaggedDecision handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events);
@@ -104,8 +104,9 @@
     TaggedRouter router_;
     Random random_;
     std::shared_ptr<const DirectoryView> view_;
-    TokenBucket flowLines_;
-    std::uint64_t flowLinesLeftOut_ = 0;
+    FlowSampler placementLines_;
+    /// Lines of flows that something happened to have a budget of their own.
+    FlowSampler problemLines_;
     bool wasReady_ = false;
     std::optional<TimePoint> lastAnswer_;
     std::optional<TimePoint> lastTick_;
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -36,6 +36,14 @@
     return out;
 }
 
+void startAdminServer(AdminServer &server, const Endpoint &endpoint)
+{
+    const std::string error = server.start(endpoint);
+    if (!error.empty()) {
+        throw std::runtime_error("admin server: " + error);
+    }
+}
+
 } // namespace
 
 TaggedProcess::TaggedProcess(const TaggedProcessParts &parts,
@@ -45,14 +53,15 @@
     : parts_(parts)
     , settings_(settings)
     , settingsPath_(std::move(settingsPath))
-    , node_(nodeSettings(settings, incarnation), now())
+    , node_(nodeSettings(settings, incarnation))
     , admin_(settings_, incarnation, node_, parts.events, parts.runtime.clock(), parts.metrics)
     , adminServer_(parts.runtime.context(), admin_, parts.runtime.clock(), parts.metrics)
     , callTimer_(parts.runtime.context())
 {
-    const std::string error = adminServer_.start(settings.adminEndpoint);
-    if (!error.empty()) {
-        throw std::runtime_error("admin server: " + error);
+    startAdminServer(adminServer_, settings.adminEndpoint);
+    if (settings.metricsEndpoint) {
+        metricsServer_.emplace(parts.runtime.context(), admin_, parts.runtime.clock(), parts.metrics);
+        startAdminServer(*metricsServer_, *settings.metricsEndpoint);
     }
 }
 
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -15,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -70,6 +71,7 @@
     TaggedNode node_;
     TaggedAdmin admin_;
     AdminServer adminServer_;
+    std::optional<AdminServer> metricsServer_;
     asio::steady_timer callTimer_;
     std::vector<NodeEvent> packetEvents_;
 };
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,167 @@
+#include "soak/world.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include <getopt.h>
+#include <sysexits.h>
+
+namespace
+{
+
+using namespace boragelug;
+using namespace boragelug::soak;
+
+constexpr const char *helpText = R"(Usage: boragelug_soak --program FILE --folder DIR [OPTION]...
+Runs daemons among stand-ins, injects faults by a seed's plan and checks what callers and hosts see.
+
+  -p, --program=FILE     boragelugd
+  -d, --folder=DIR       settings and logs of the VMs are written here
+  -s, --seed=N           first seed (1)
+  -n, --seeds=N          number of seeds, one after the other (1)
+  -l, --length=SECONDS   time with faults (20)
+  -v, --vms=N            VMs (6)
+  -w, --network=N        second number of the loopback addresses, 16 to 240 (77)
+  -b, --sabotage=NAME    breaks a stand-in: bytes, withhold, reset, service, deaf; the run has to find it
+
+Exit codes: 0 all promises held, 1 one was broken, 64 wrong usage.
+)";
+
+struct Options
+{
+    Plan plan;
+    std::uint64_t seeds = 1;
+    std::uint8_t network = 77;
+    bool valid = true;
+};
+
+Sabotage sabotageOf(const std::string &name)
+{
+    const std::vector<std::pair<std::string, Sabotage>> names { { "bytes", Sabotage::Bytes },
+                                                                { "withhold", Sabotage::Withhold },
+                                                                { "reset", Sabotage::Reset },
+                                                                { "service", Sabotage::Service },
+                                                                { "deaf", Sabotage::Deaf } };
+    for (const auto &[known, value] : names) {
+        if (known == name) {
+            return value;
+        }
+    }
+    return Sabotage::None;
+}
+
+Options parse(int argc, char **argv)
+{
+    const std::vector<option> known { { "program", required_argument, nullptr, 'p' },
+                                      { "folder", required_argument, nullptr, 'd' },
+                                      { "seed", required_argument, nullptr, 's' },
+                                      { "seeds", required_argument, nullptr, 'n' },
+                                      { "length", required_argument, nullptr, 'l' },
+                                      { "vms", required_argument, nullptr, 'v' },
+                                      { "network", required_argument, nullptr, 'w' },
+                                      { "sabotage", required_argument, nullptr, 'b' },
+                                      { nullptr, 0, nullptr, 0 } };
+    Options options;
+    for (int found = 0; (found = getopt_long(argc, argv, "p:d:s:n:l:v:w:b:", known.data(), nullptr)) != -1;) {
+        const std::string value = optarg != nullptr ? optarg : "";
+        switch (found) {
+        case 'p':
+            options.plan.program = value;
+            break;
+        case 'd':
+            options.plan.folder = value;
+            break;
+        case 's':
+            options.plan.seed = std::stoull(value);
+            break;
+        case 'n':
+            options.seeds = std::stoull(value);
+            break;
+        case 'l':
+            options.plan.length = std::chrono::seconds(std::stoull(value));
+            break;
+        case 'v':
+            options.plan.vms = std::stoull(value);
+            break;
+        case 'w':
+            options.network = static_cast<std::uint8_t>(std::stoul(value));
+            break;
+        case 'b':
+            options.plan.sabotage = sabotageOf(value);
+            break;
+        default:
+            options.valid = false;
+        }
+    }
+    options.valid = options.valid && !options.plan.program.empty() && !options.plan.folder.empty();
+    return options;
+}
+
+/// Last lines of the VMs' logs, which show what led to a broken promise.
+void printLogs(const std::string &folder)
+{
+    constexpr std::size_t lastLines = 5;
+    for (const auto &file : std::filesystem::directory_iterator(folder)) {
+        if (file.path().extension() != ".log") {
+            continue;
+        }
+        std::vector<std::string> lines;
+        std::ifstream stream(file.path());
+        for (std::string line; std::getline(stream, line);) {
+            lines.push_back(line);
+        }
+        std::cout << "  " << file.path().filename().string() << ":\n";
+        for (std::size_t i = lines.size() - std::min(lines.size(), lastLines); i < lines.size(); ++i) {
+            std::cout << "    " << lines[i] << '\n';
+        }
+    }
+}
+
+bool runSeed(const Options &options, std::uint64_t seed)
+{
+    Plan plan = options.plan;
+    plan.seed = seed;
+    plan.folder += "/seed-" + std::to_string(seed);
+    std::filesystem::remove_all(plan.folder);
+    std::filesystem::create_directories(plan.folder);
+    const Report report = World(plan, options.network).run();
+    std::cout << "seed " << seed << ": " << report.served << " of " << report.asked << " requests served, "
+              << report.faults.size() << " faults, recovered " << report.recoveredShare << ", most "
+              << report.mostMemoryKib << " KiB and " << report.mostDescriptors << " descriptors, "
+              << report.violations.size() << " promises broken" << std::endl;
+    if (report.violations.empty()) {
+        return true;
+    }
+    for (const Violation &violation : report.violations) {
+        std::cout << "  broken at " << std::chrono::duration<double>(violation.at).count()
+                  << " s: " << violation.promise << ": " << violation.detail << '\n';
+    }
+    for (const std::string &fault : report.faults) {
+        std::cout << "  fault at " << fault << '\n';
+    }
+    printLogs(plan.folder);
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        const Options options = parse(argc, argv);
+        if (!options.valid) {
+            std::cerr << helpText;
+            return EX_USAGE;
+        }
+        std::uint64_t broken = 0;
+        for (std::uint64_t i = 0; i < options.seeds; ++i) {
+            broken += runSeed(options, options.plan.seed + i) ? 0 : 1;
+        }
+        std::cout << options.seeds - broken << " seeds passed, " << broken << " failed" << std::endl;
+        return broken == 0 ? 0 : 1;
+    } catch (const std::exception &error) {
+        std::cerr << "boragelug_soak: " << error.what() << '\n';
+        return EX_SOFTWARE;
+    }
+}
--- /dev/null
+++ b/soak/store_standin.cpp
@@ -0,0 +1,235 @@
+#include "soak/store_standin.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/escaping.h>
+#include <asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace boragelug::soak
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr auto slowAnswer = std::chrono::milliseconds(250);
+constexpr std::uint64_t losesOneOf = 3;
+
+std::uint64_t numberAfter(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    return at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + name.size() + 1, nullptr, 10);
+}
+
+} // namespace
+
+struct StoreStandin::Session
+{
+    explicit Session(asio::io_context &context)
+        : socket(context)
+        , timer(context)
+    { }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    PlatformRequestReader reader;
+    std::array<char, 4096> buffer {};
+    std::string out;
+    std::uint64_t after = 0;
+};
+
+StoreStandin::StoreStandin(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, std::uint64_t seed)
+    : context_(context)
+    , endpoint_(endpoint)
+    , acceptor_(context)
+    , random_(seed)
+{
+    listen();
+}
+
+StoreStandin::~StoreStandin() = default;
+
+void StoreStandin::listen()
+{
+    acceptor_.open(asio::ip::tcp::v4());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint_);
+    acceptor_.listen();
+    accept();
+}
+
+void StoreStandin::accept()
+{
+    const auto session = std::make_shared<Session>(context_);
+    acceptor_.async_accept(session->socket, [this, session](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        read(session);
+        accept();
+    });
+}
+
+void StoreStandin::read(const std::shared_ptr<Session> &session)
+{
+    session->socket.async_read_some(
+        asio::buffer(session->buffer), [this, session](const asio::error_code &error, std::size_t bytes) {
+            if (error) {
+                return;
+            }
+            const auto progress = session->reader.feed(std::string_view(session->buffer.data(), bytes));
+            if (progress == HttpProgress::Complete) {
+                handle(session);
+            } else if (progress == HttpProgress::NeedMore) {
+                read(session);
+            }
+        });
+}
+
+void StoreStandin::handle(const std::shared_ptr<Session> &session)
+{
+    const std::string target = session->reader.take().target;
+    if (fault_ == StoreFault::Busy) {
+        send(session, 503, "");
+    } else if (target.find("/kv-range") != std::string::npos) {
+        send(session, 200, listBody());
+    } else if (numberAfter(target, "after") < oldestRevision_ - 1) {
+        send(session, 410, "");
+    } else {
+        session->after = numberAfter(target, "after");
+        session->timer.expires_after(std::chrono::milliseconds(numberAfter(target, "wait_ms")));
+        session->timer.async_wait([this, session](const asio::error_code &error) {
+            if (!error) {
+                answerWatch(session);
+            }
+        });
+        waiting_.push_back(session);
+        release();
+    }
+}
+
+void StoreStandin::answerWatch(const std::shared_ptr<Session> &session)
+{
+    waiting_.remove(session);
+    send(session, 200, changesBody(session->after));
+}
+
+void StoreStandin::release()
+{
+    const auto waiting = waiting_;
+    for (const auto &session : waiting) {
+        if (session->after < revision_) {
+            session->timer.cancel();
+            answerWatch(session);
+        }
+    }
+}
+
+void StoreStandin::send(const std::shared_ptr<Session> &session, unsigned status, std::string body)
+{
+    random_ = mix64(random_ + 1);
+    if (fault_ == StoreFault::Silent || (fault_ == StoreFault::Losing && random_ % losesOneOf == 0)) {
+        // The connection stays open without an answer until the reader gives up.
+        session->timer.expires_after(std::chrono::seconds(10));
+        session->timer.async_wait([session](const asio::error_code &) {});
+        return;
+    }
+    if (fault_ != StoreFault::Slow) {
+        sendNow(session, status, std::move(body));
+        return;
+    }
+    session->timer.expires_after(slowAnswer);
+    session->timer.async_wait([this, session, status, body = std::move(body)](const asio::error_code &error) {
+        if (!error) {
+            sendNow(session, status, body);
+        }
+    });
+}
+
+void StoreStandin::sendNow(const std::shared_ptr<Session> &session, unsigned status, std::string body)
+{
+    PlatformHttpResponse response;
+    response.status = status;
+    response.fields["Content-Type"] = "application/json";
+    response.body = std::move(body);
+    session->out = serialize(response);
+    asio::async_write(session->socket, asio::buffer(session->out), [session](const asio::error_code &, std::size_t) {});
+}
+
+std::string StoreStandin::listBody() const
+{
+    Json items = Json::array();
+    for (const auto &[key, change] : items_) {
+        items.push_back({ { "key", key },
+                          { "value", absl::Base64Escape(change.value) },
+                          { "revision", change.revision },
+                          { "created", change.revision } });
+    }
+    return Json { { "items", items }, { "has_more", false }, { "as_of", revision_ } }.dump();
+}
+
+std::string StoreStandin::changesBody(std::uint64_t after) const
+{
+    Json events = Json::array();
+    for (const Change &change : history_) {
+        if (change.revision <= after) {
+            continue;
+        }
+        Json event { { "key", change.key }, { "revision", change.revision } };
+        if (change.removed) {
+            event["removed"] = true;
+        } else {
+            event["value"] = absl::Base64Escape(change.value);
+            event["created"] = change.revision;
+        }
+        events.push_back(event);
+    }
+    return Json { { "events", events }, { "as_of", revision_ } }.dump();
+}
+
+void StoreStandin::set(const std::string &key, const std::string &value)
+{
+    const Change change { .revision = ++revision_, .key = key, .value = value, .removed = false };
+    items_[key] = change;
+    history_.push_back(change);
+    release();
+}
+
+void StoreStandin::remove(const std::string &key)
+{
+    if (items_.erase(key) == 0) {
+        return;
+    }
+    history_.push_back({ .revision = ++revision_, .key = key, .value = {}, .removed = true });
+    release();
+}
+
+void StoreStandin::setFault(StoreFault fault)
+{
+    if (fault_ == StoreFault::Refusing && fault != StoreFault::Refusing) {
+        listen();
+    }
+    fault_ = fault;
+    if (fault == StoreFault::Refusing) {
+        asio::error_code ignored;
+        acceptor_.close(ignored);
+    }
+}
+
+void StoreStandin::compact()
+{
+    history_.clear();
+    oldestRevision_ = revision_ + 1;
+    const auto waiting = std::exchange(waiting_, {});
+    for (const auto &session : waiting) {
+        session->timer.cancel();
+        asio::error_code ignored;
+        session->socket.close(ignored);
+    }
+}
+
+} // namespace boragelug::soak
--- /dev/null
+++ b/soak/store_standin.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "drivers/platform_http_codec.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace boragelug::soak
+{
+
+/// What the store does wrong.
+enum class StoreFault : std::uint8_t {
+    None,
+    Silent, ///< Accepts connections and answers nothing.
+    Busy, ///< Answers 503.
+    Refusing, ///< Accepts no connections.
+    Slow, ///< Answers late.
+    Losing ///< Some answers never come.
+};
+
+/**
+ * Stands in for the platform's store: lists and watches over HTTP/1.1, with faults.
+ *
+ * Not synchronized: use it from the thread that runs the io_context.
+ */
+class StoreStandin
+{
+public:
+    /// Listens on @p endpoint; throws asio::system_error if that fails.
+    StoreStandin(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, std::uint64_t seed);
+    ~StoreStandin();
+
+    /// Writes @p value under @p key and releases watches.
+    void set(const std::string &key, const std::string &value);
+
+    /// Removes @p key and releases watches.
+    void remove(const std::string &key);
+
+    /// Starts or ends a fault.
+    void setFault(StoreFault fault);
+
+    /// Forgets the history and cuts waiting watches.
+    void compact();
+
+    StoreFault fault() const { return fault_; }
+
+private:
+    struct Session;
+
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::string value;
+        bool removed = false;
+    };
+
+    void listen();
+    void accept();
+    void read(const std::shared_ptr<Session> &session);
+    void handle(const std::shared_ptr<Session> &session);
+    void answerWatch(const std::shared_ptr<Session> &session);
+    void send(const std::shared_ptr<Session> &session, unsigned status, std::string body);
+    void sendNow(const std::shared_ptr<Session> &session, unsigned status, std::string body);
+    void release();
+    std::string listBody() const;
+    std::string changesBody(std::uint64_t after) const;
+
+    asio::io_context &context_;
+    asio::ip::tcp::endpoint endpoint_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::uint64_t random_;
+    StoreFault fault_ = StoreFault::None;
+    std::uint64_t revision_ = 1;
+    std::map<std::string, Change> items_;
+    std::deque<Change> history_;
+    std::uint64_t oldestRevision_ = 1;
+    std::list<std::shared_ptr<Session>> waiting_;
+};
+
+} // namespace boragelug::soak
