Take most changes of the directory from cheap, possibly stale answers

Cause: calls to the store are the largest price on the grown deployments. The store answers a call that may be seconds old at a tenth of the price.

Change: an up-to-date watch at least each half of the bound for changes (and one collection later at most), possibly stale ones in between; none after a failure or a pause. The mirror never goes back, whatever a stale answer says.

--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -106,6 +106,8 @@
     DirectoryRevision after;
     /// Watch: how long the directory may wait for a change before it answers.
     Duration wait {};
+    /// Watch: any replica may answer, whose records may be seconds old. Such an answer costs the directory little.
+    bool mayBeStale = false;
     /// When the call is given up, counted from its start.
     Duration timeout {};
 };
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -19,6 +19,8 @@
 /// Part of the bound for changes in which they may collect before the next call: the rest is left for a slow answer and
 /// a failed call.
 constexpr int collectDivisor = 4;
+/// Part of the bound for changes in which possibly stale answers do.
+constexpr int staleDivisor = 2;
 /// Time after the collection in which all VMs have read of a new upstream.
 constexpr Duration settleMargin = std::chrono::seconds(1);
 
@@ -28,6 +30,7 @@
     out.mirror.zone = settings.zone;
     out.mirror.lapseGrace = settings.lapseGrace;
     out.reader.collectTime = settings.changeBound / collectDivisor;
+    out.reader.staleTime = settings.changeBound / staleDivisor;
     out.routing.settleTime = out.reader.collectTime + settleMargin;
     out.drainBound = settings.stopGrace - stopMargin;
     out.flowLinesPerSecond = settings.flowLogLinesPerSecond;
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -141,6 +141,8 @@
     call.after = DirectoryRevision { 411 };
     call.wait = std::chrono::milliseconds(2500);
     EXPECT_EQ(storeTarget(call), "/v1/kv-watch?prefix=&after=411&wait_ms=2500");
+    call.mayBeStale = true;
+    EXPECT_EQ(storeTarget(call), "/v1/kv-watch?prefix=&after=411&wait_ms=2500&serializable=1");
 }
 
 HttpCall::Result response(unsigned status, std::string body = {})
--- a/tests/views/directory_test.cpp
+++ b/tests/views/directory_test.cpp
@@ -242,6 +242,48 @@
     EXPECT_GE(calls, 10);
 }
 
+// Guards the bound for changes against stale replicas: between two up-to-date answers there is never more than the
+// stale time, and an answer of a stale replica that is behind takes nothing back.
+TEST_F(DirectoryReaderTest, RestsNoBoundOnStaleAnswers)
+{
+    call();
+    answer(page({ catalogue(7, 10), host(1, 11, UpstreamState::Draining) }, 11));
+    std::optional<TimePoint> confirmed = now;
+    for (int i = 0; i < 2000; ++i, now += 10ms) {
+        if (!call()) {
+            continue;
+        }
+        if (!last->mayBeStale) {
+            EXPECT_LE(now - *confirmed, ReaderSettings {}.staleTime + ReaderSettings {}.collectTime);
+            confirmed = now;
+            answer(changes({ catalogue(7, 10), host(2, 20 + static_cast<std::uint64_t>(i)) }, 20));
+        } else {
+            EXPECT_LE(now + last->wait - *confirmed, ReaderSettings {}.staleTime);
+            answer(changes({ catalogue(6, 8), host(1, 5) }, 8));
+        }
+        EXPECT_EQ(mirror.publish()->version.value, 7U);
+        EXPECT_EQ(mirror.publish()->upstreams.front().upstream.state, UpstreamState::Draining);
+    }
+    EXPECT_GT(now - TimePoint { 100s }, 10s);
+}
+
+// Guards the first answers after trouble: none of them may be stale.
+TEST_F(DirectoryReaderTest, AsksForUpToDateAnswersAfterTrouble)
+{
+    call();
+    answer(page({ catalogue(1, 1) }, 1));
+    ASSERT_TRUE(call());
+    EXPECT_TRUE(last->mayBeStale);
+    fail(DirectoryError::TimedOut);
+    now += 1s;
+    ASSERT_TRUE(call());
+    EXPECT_FALSE(last->mayBeStale);
+    answer(changes({}, 1));
+    reader.noteSleep(now);
+    ASSERT_TRUE(call());
+    EXPECT_FALSE(last->mayBeStale);
+}
+
 // Guards the price of calls: changes collect before the next watch, but a quiet watch is renewed at once.
 TEST_F(DirectoryReaderTest, CollectsChanges)
 {
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -52,6 +52,10 @@
     call.after = watchFrom_;
     // A directory that just came back is asked for a short answer first, which tells that it really answers.
     call.wait = reachable_ ? settings_.watchWait : Duration::zero();
+    if (reachable_ && confirmedAt_ && now - *confirmedAt_ < settings_.staleTime) {
+        call.mayBeStale = true;
+        call.wait = settings_.staleTime - (now - *confirmedAt_);
+    }
     call.timeout = call.wait + settings_.answerMargin;
     return call;
 }
@@ -62,12 +66,14 @@
     if (!inProgress_ || inProgress_->id != answer.callId) {
         return outcome;
     }
+    const bool mayBeStale = inProgress_->mayBeStale;
     inProgress_.reset();
     if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
         handleFailure(*failure, now, random, outcome);
         return outcome;
     }
     noteSuccess(now, outcome);
+    confirmedAt_ = mayBeStale ? confirmedAt_ : std::optional(now);
     if (const auto *page = std::get_if<DirectoryPage>(&answer.result)) {
         handlePage(*page, now, outcome);
         return outcome;
@@ -85,6 +91,7 @@
                                     ReaderOutcome &outcome)
 {
     outcome.failure = failure;
+    confirmedAt_.reset();
     if (failure.error == DirectoryError::HistoryLost) {
         canWatch_ = false;
         firstPage_ = true;
@@ -143,6 +150,7 @@
 {
     nextAt_ = std::min(nextAt_, now);
     lastAnswer_.reset();
+    confirmedAt_.reset();
 }
 
 bool DirectoryReader::isFresh(TimePoint now) const
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -22,6 +22,9 @@
     Duration answerMargin = std::chrono::milliseconds(800);
     /// Pause before the next watch, in which changes collect, since each call has a price.
     Duration collectTime = std::chrono::milliseconds(500);
+    /// Time after an up-to-date answer in which possibly stale ones do: they bring most changes early and cost little,
+    /// but a bound can't rest on them.
+    Duration staleTime = std::chrono::milliseconds(1500);
     /// Pause after the first failure; doubles with each further one.
     Duration firstRetry = std::chrono::milliseconds(100);
     Duration maxRetry = std::chrono::milliseconds(800);
@@ -91,6 +94,8 @@
     std::uint32_t failures_ = 0;
     bool reachable_ = true;
     std::optional<TimePoint> lastAnswer_;
+    /// When the last answer that was certainly up to date came.
+    std::optional<TimePoint> confirmedAt_;
 };
 
 } // namespace boragelug
