--- a/core/event.cpp
+++ b/core/event.cpp
@@ -65,6 +65,8 @@
         return "flow_evicted";
     case EventNumber::PacketDropped:
         return "packet_dropped";
+    case EventNumber::FlowUnanswered:
+        return "flow_unanswered";
     case EventNumber::RequestAccepted:
         return "request_accepted";
     case EventNumber::RequestDispatched:
--- a/core/event.h
+++ b/core/event.h
@@ -46,6 +46,7 @@
     FlowHandedOver = 303,
     FlowEvicted = 304,
     PacketDropped = 305,
+    FlowUnanswered = 306,
     RequestAccepted = 400,
     RequestDispatched = 401,
     RequestAnswered = 402,
--- a/core/event_severity.cpp
+++ b/core/event_severity.cpp
@@ -34,6 +34,7 @@
     case EventNumber::FlowGuessed:
     case EventNumber::FlowEvicted:
     case EventNumber::PacketDropped:
+    case EventNumber::FlowUnanswered:
     case EventNumber::RequestUnknown:
     case EventNumber::UpstreamEjected:
     case EventNumber::UpstreamLapsed:
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -82,11 +82,11 @@
                               std::vector<NodeEvent> &events)
 {
     const auto *forward = std::get_if<ForwardPacket>(&decision);
-    if (forward != nullptr && !forward->placed) {
+    if (forward != nullptr && !forward->placed && !forward->unanswered) {
         return;
     }
     const std::uint64_t cause = flowCause(packet.caller, packet.entry);
-    const bool ordinary = forward != nullptr && forward->reason == PlacementReason::First;
+    const bool ordinary = forward != nullptr && forward->placed && forward->reason == PlacementReason::First;
     FlowSampler &lines = ordinary ? placementLines_ : problemLines_;
     if (!lines.admit(cause, now)) {
         return;
@@ -97,14 +97,21 @@
     if (forward != nullptr) {
         event.fields.emplace_back("upstream", causeText(forward->upstream.value));
         event.fields.emplace_back("address", toString(forward->address));
-        event.fields.emplace_back("reason", reasonName(forward->reason));
-        event.fields.emplace_back("cost", std::to_string(forward->cost));
-        event.fields.emplace_back("compared", std::to_string(forward->compared));
+        if (forward->placed) {
+            event.fields.emplace_back("reason", reasonName(forward->reason));
+            event.fields.emplace_back("cost", std::to_string(forward->cost));
+            event.fields.emplace_back("compared", std::to_string(forward->compared));
+        } else {
+            event.number = EventNumber::FlowUnanswered;
+        }
     } else {
         const auto *reset = std::get_if<ResetFlow>(&decision);
         event.number = reset != nullptr ? EventNumber::FlowRefused : EventNumber::PacketDropped;
         const TaggedRefusal reason = reset != nullptr ? reset->reason : std::get<IgnorePacket>(decision).reason;
         event.fields.emplace_back("reason", taggedRefusalName(reason));
+        if (reset != nullptr && reset->upstream != UpstreamId {}) {
+            event.fields.emplace_back("upstream", causeText(reset->upstream.value));
+        }
     }
     event.fields.emplace_back("catalogue", std::to_string(view_ ? view_->version.value : 0));
     event.fields.emplace_back("revision", std::to_string(view_ ? view_->revision.value : 0));
@@ -159,7 +166,9 @@
     for (const MirrorChange &change : changes) {
         NodeEvent event { .number = eventOf(change.kind),
                           .causeId = 0,
-                          .fields = { { "key", change.key }, { "revision", std::to_string(change.revision.value) } } };
+                          .fields = { { "upstream", causeText(change.upstream.value) },
+                                      { "key", change.key },
+                                      { "revision", std::to_string(change.revision.value) } } };
         if (!change.detail.empty()) {
             event.fields.emplace_back("detail", change.detail);
         }
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -58,7 +58,7 @@
 constexpr const char *helpText = R"(Usage: boragelugd --settings FILE [OPTION]...
 Runs one entry VM: forwards flows and dispatches requests.
 
-  -s, --settings=FILE    settings in YAML, see docs/operations.md
+  -s, --settings=FILE    settings in YAML, see docs/OPERATIONS.md
   -t, --flow-tags        the fabric carries a flow tag: forward flows only, with the settings of that mode
   -c, --check            check settings and key file, then exit
   -h, --help             show this text
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -109,7 +109,7 @@
 {
     if (sure) {
         ++counters_.resets.at(static_cast<std::size_t>(reason));
-        return ResetFlow { reason };
+        return ResetFlow { .reason = reason, .upstream = {} };
     }
     ++counters_.ignored.at(static_cast<std::size_t>(reason));
     return IgnorePacket { reason };
@@ -145,19 +145,21 @@
     if (!host) {
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
-    track(packet, host, now);
+    const bool unanswered = track(packet, host, now);
     if (viewIsFresh && mayReset(packet, *entry, *host, now)) {
         const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
         if (flow != flows_.end()) {
             release(flow->second);
             flows_.erase(flow);
         }
-        return refuse(TaggedRefusal::SilentUpstream, true);
+        ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::SilentUpstream));
+        return ResetFlow { .reason = TaggedRefusal::SilentUpstream, .upstream = host->status.upstream.id };
     }
     ++counters_.forwarded;
     return ForwardPacket { .upstream = host->status.upstream.id,
                            .address = host->status.upstream.tunnelEndpoint,
-                           .tag = host->tag };
+                           .tag = host->tag,
+                           .unanswered = unanswered };
 }
 
 TaggedDecision
@@ -303,13 +305,13 @@
     flow.phase = phase;
 }
 
-void TaggedRouter::track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now)
+bool TaggedRouter::track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now)
 {
     const FlowId id { packet.caller, packet.entry };
     auto found = flows_.find(id);
     if (found == flows_.end()) {
         if (flows_.size() >= settings_.maxTrackedFlows) {
-            return;
+            return false;
         }
         found = flows_.emplace(id, Flow {}).first;
         found->second.phase = FlowPhase::Open;
@@ -327,14 +329,15 @@
         flow.acknowledged = packet.acknowledged;
         noteProgress(host->signals, now);
     }
-    trackData(packet, flow, now);
+    const bool unanswered = trackData(packet, flow, now);
     if (packet.fin || packet.reset) {
         setBusy(flow, packet.reset ? false : flow.busy);
         setPhase(flow, FlowPhase::Ended);
     }
+    return unanswered;
 }
 
-void TaggedRouter::trackData(const FlowPacket &packet, Flow &flow, TimePoint now)
+bool TaggedRouter::trackData(const FlowPacket &packet, Flow &flow, TimePoint now)
 {
     if (packet.ack && isAfter(packet.acknowledged, flow.acknowledged)) {
         flow.acknowledged = packet.acknowledged;
@@ -343,7 +346,7 @@
         setBusy(flow, false);
     }
     if (packet.dataBytes == 0) {
-        return;
+        return false;
     }
     const std::uint32_t end = packet.sequence + packet.dataBytes;
     if (isAfter(end, flow.nextSequence)) {
@@ -351,13 +354,15 @@
         if (flow.phase != FlowPhase::Ended) {
             setBusy(flow, true);
         }
-        return;
+        return false;
     }
     ++counters_.repeatedData;
-    if (!flow.missed) {
-        flow.missed = true;
-        miss(*flow.host, now);
+    if (flow.missed) {
+        return false;
     }
+    flow.missed = true;
+    miss(*flow.host, now);
+    return true;
 }
 
 void TaggedRouter::miss(Host &host, TimePoint now)
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -59,6 +59,8 @@
     UpstreamId upstream;
     Endpoint address;
     FlowTag tag;
+    /// The packet came again although its upstream should have answered; set once for each request.
+    bool unanswered = false;
     /// Set in the first packet of a flow.
     bool placed = false;
     PlacementReason reason = PlacementReason::First;
@@ -71,6 +73,8 @@
 struct ResetFlow
 {
     TaggedRefusal reason = TaggedRefusal::UnknownEntry;
+    /// Where the flow went until now; 0 if nowhere.
+    UpstreamId upstream;
 };
 
 /// Says nothing, because this VM can't be sure.
@@ -194,8 +198,9 @@
     std::vector<std::shared_ptr<Host>>
     candidates(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now);
     PlacementCandidate candidateFacts(const Host &host, TimePoint now) const;
-    void track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
-    void trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
+    /// Whether the packet shows that its upstream didn't answer; so does trackData().
+    bool track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
+    bool trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
     void miss(Host &host, TimePoint now);
     bool mayReset(const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, TimePoint now) const;
     void setBusy(Flow &flow, bool busy);
--- a/servers/refusal_advice.cpp
+++ b/servers/refusal_advice.cpp
@@ -57,7 +57,7 @@
             return advice;
         }
     }
-    return "Look for the reason in docs/operations.md.";
+    return "Look for the reason in docs/OPERATIONS.md.";
 }
 
 } // namespace boragelug
