--- /dev/null
+++ b/tests/node/tagged_node_test.cpp
@@ -0,0 +1,219 @@
+#include "node/tagged_node.h"
+
+#include "routing/flow_tag.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const Endpoint entry { .address = { 0xc6120001 }, .port = { 443 } };
+
+DirectoryItem catalogueItem(std::uint64_t version)
+{
+    CatalogueRecord record;
+    record.version = CatalogueVersion { version };
+    record.entries = { { .name = EntryName { "ledger" },
+                         .address = entry,
+                         .services = { { .service = "ledger", .weight = 1 } },
+                         .idempotent = true } };
+    return { .key = "catalogue", .revision = { version }, .content = record };
+}
+
+DirectoryItem hostItem(std::uint64_t id, std::uint64_t revision, UpstreamState state = UpstreamState::Active)
+{
+    UpstreamRecord record;
+    record.id = UpstreamId { id };
+    record.incarnation = Incarnation { 1 };
+    record.service = "ledger";
+    record.zone = "kgd-north";
+    record.address = { .address = { static_cast<std::uint32_t>(0x0a000000 + id) }, .port = { 8080 } };
+    record.state = state;
+    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = record };
+}
+
+class TaggedNodeTest : public ::testing::Test
+{
+protected:
+    TaggedNodeTest()
+        : node(settings())
+    { }
+
+    static TaggedNodeSettings settings()
+    {
+        TaggedNodeSettings settings;
+        settings.mirror.zone = "kgd-north";
+        return settings;
+    }
+
+    void answer(decltype(DirectoryAnswer::result) result)
+    {
+        const auto call = node.nextCall(now);
+        ASSERT_TRUE(call);
+        note(node.handleDirectoryAnswer({ .callId = call->id, .result = std::move(result) }, now));
+    }
+
+    void becomeReady()
+    {
+        answer(DirectoryPage { .items = { catalogueItem(1), hostItem(1, 2), hostItem(2, 3) },
+                               .more = false,
+                               .lastKey = {},
+                               .asOf = { 3 } });
+    }
+
+    void note(const std::vector<NodeEvent> &more) { events.insert(events.end(), more.begin(), more.end()); }
+
+    bool told(EventNumber number) const
+    {
+        return std::any_of(events.begin(), events.end(), [&](const auto &event) { return event.number == number; });
+    }
+
+    TaggedDecision opening(std::uint16_t port)
+    {
+        FlowPacket packet;
+        packet.caller = { .address = { 0x64400001 }, .port = { port } };
+        packet.entry = entry;
+        packet.sequence = port;
+        packet.syn = true;
+        return node.handlePacket(packet, now, events);
+    }
+
+    /// Runs ticks for @p length, with a packet at each if @p packets.
+    void run(Duration length, bool packets)
+    {
+        for (const TimePoint end = now + length; now < end; now += 100ms) {
+            note(node.tick(now));
+            if (packets) {
+                opening(++lastPort);
+            }
+        }
+    }
+
+    TaggedNode node;
+    std::vector<NodeEvent> events;
+    TimePoint now { 100s };
+    std::uint16_t lastPort = 1;
+};
+
+// Guards callers against a VM that takes flows before it knows where they may go.
+TEST_F(TaggedNodeTest, ServesOnlyOnceTheDirectoryWasRead)
+{
+    EXPECT_FALSE(node.isReady());
+    EXPECT_TRUE(std::holds_alternative<IgnorePacket>(opening(1)));
+    becomeReady();
+    EXPECT_TRUE(node.isReady());
+    EXPECT_TRUE(told(EventNumber::ProcessReady));
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(opening(2)));
+}
+
+// Guards flows on a VM that is stopped: it leaves rotation first and forwards while the fabric still sends.
+TEST_F(TaggedNodeTest, DrainsUntilTheFabricIsQuiet)
+{
+    becomeReady();
+    note(node.beginDrain(now));
+    EXPECT_FALSE(node.isReady());
+    run(3s, true);
+    EXPECT_FALSE(node.isDrained(now)) << "the fabric still sends";
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(opening(999)));
+    run(500ms, false);
+    EXPECT_TRUE(node.isDrained(now));
+}
+
+// Guards the platform's bound on a stop, also when the fabric never stops sending.
+TEST_F(TaggedNodeTest, EndsADrainAtItsBound)
+{
+    becomeReady();
+    node.beginDrain(now);
+    run(settings().drainBound, true);
+    EXPECT_TRUE(node.isDrained(now));
+}
+
+// Guards against an exit before the fabric noticed: two missed checks take a second.
+TEST_F(TaggedNodeTest, StaysAtLeastUntilTheFabricCanNotice)
+{
+    becomeReady();
+    node.beginDrain(now);
+    run(1200ms, false);
+    EXPECT_FALSE(node.isDrained(now));
+    run(200ms, false);
+    EXPECT_TRUE(node.isDrained(now));
+}
+
+// Guards decisions after a pause: what the VM believes is old, so it refuses nothing until it has read again.
+TEST_F(TaggedNodeTest, RefusesNothingAfterAPause)
+{
+    becomeReady();
+    note(node.tick(now));
+    FlowPacket unknown;
+    unknown.entry = { .address = { 1 }, .port = { 1 } };
+    unknown.syn = true;
+    EXPECT_TRUE(std::holds_alternative<ResetFlow>(node.handlePacket(unknown, now, events)));
+    now += 2s;
+    note(node.tick(now));
+    EXPECT_TRUE(told(EventNumber::ProcessSlept));
+    EXPECT_TRUE(std::holds_alternative<IgnorePacket>(node.handlePacket(unknown, now, events)));
+    answer(DirectoryChanges { .items = {}, .asOf = { 3 } });
+    EXPECT_TRUE(std::holds_alternative<ResetFlow>(node.handlePacket(unknown, now, events)));
+}
+
+// Guards G6: a draining host gets nothing new from the moment at which the VM learned of it.
+TEST_F(TaggedNodeTest, PlacesNothingAtAHostOnceItDrains)
+{
+    becomeReady();
+    answer(DirectoryChanges { .items = { hostItem(1, 4, UpstreamState::Draining) }, .asOf = { 4 } });
+    EXPECT_TRUE(told(EventNumber::UpstreamDraining));
+    for (std::uint16_t i = 1; i <= 50; ++i) {
+        EXPECT_EQ(std::get<ForwardPacket>(opening(i)).upstream, UpstreamId { 2 });
+    }
+}
+
+// Guards traffic while the directory is away: the last view stays in effect, and calls are bounded.
+TEST_F(TaggedNodeTest, ServesOnWithoutTheDirectory)
+{
+    becomeReady();
+    int calls = 0;
+    for (int i = 0; i < 600; ++i, now += 100ms) {
+        note(node.tick(now));
+        if (const auto call = node.nextCall(now)) {
+            ++calls;
+            const DirectoryFailure failure { .error = DirectoryError::TimedOut, .detail = "test" };
+            note(node.handleDirectoryAnswer({ .callId = call->id, .result = failure }, now));
+        }
+        ASSERT_TRUE(std::holds_alternative<ForwardPacket>(opening(++lastPort)));
+    }
+    EXPECT_TRUE(told(EventNumber::PlatformUnreachable));
+    EXPECT_LE(calls, 200);
+}
+
+// Guards on-call engineers: a caller's repeated data leaves a line that names flow and upstream.
+TEST_F(TaggedNodeTest, TellsOfFlowsWithoutAnswer)
+{
+    becomeReady();
+    const auto placed = std::get<ForwardPacket>(opening(7));
+    FlowPacket request;
+    request.caller = { .address = { 0x64400001 }, .port = { 7 } };
+    request.entry = entry;
+    request.tag = placed.tag;
+    request.sequence = 8;
+    request.ack = true;
+    request.acknowledged = 100;
+    request.dataBytes = 50;
+    node.handlePacket(request, now, events);
+    EXPECT_FALSE(told(EventNumber::FlowUnanswered));
+    now += 200ms;
+    node.handlePacket(request, now, events);
+    ASSERT_TRUE(told(EventNumber::FlowUnanswered));
+    const NodeEvent &event = events.back();
+    EXPECT_EQ(event.causeId, flowCause(request.caller, request.entry));
+    const std::pair<std::string, std::string> upstream { "upstream", causeText(placed.upstream.value) };
+    EXPECT_NE(std::find(event.fields.begin(), event.fields.end(), upstream), event.fields.end());
+}
+
+} // namespace
+} // namespace boragelug
