Keep the store's words in platform/, also those of the soak's stand-ins

Cause: the soak wrote records and calls of the store itself, outside of the folder that translates them.

Change: the store's stand-in, the records and the ends' packets are in platform/standins/; the soak hands over the project's types.

--- a/soak/caller.h
+++ b/soak/caller.h
@@ -2,8 +2,8 @@
 
 #include "core/random.h"
 #include "core/time_point.h"
+#include "platform/standins/wire.h"
 #include "soak/promises.h"
-#include "soak/wire.h"
 
 #include <cstdint>
 #include <functional>
--- a/soak/host.h
+++ b/soak/host.h
@@ -2,8 +2,8 @@
 
 #include "core/time_point.h"
 #include "drivers/udp_socket.h"
+#include "platform/standins/wire.h"
 #include "soak/promises.h"
-#include "soak/wire.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,9 +1,7 @@
 #include "soak/world.h"
 
-#include "core/event.h"
 #include "core/hash.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/standins/store_records.h"
 
 #include <algorithm>
 #include <csignal>
@@ -15,7 +13,6 @@
 {
 
 using namespace std::chrono_literals;
-using Json = nlohmann::json;
 
 constexpr Port packetPort { 8172 };
 constexpr std::uint16_t adminPort = 8167;
@@ -34,12 +31,6 @@
 constexpr Duration settle = 3s;
 constexpr Duration finalOutage = 1s;
 
-/// Key of a host's record; datagrams to the host carry the hexadecimal digits of its id.
-std::string hostKey(std::uint64_t id)
-{
-    return "servers/i-" + causeText(id);
-}
-
 } // namespace
 
 World::World(Plan plan, std::uint8_t network)
@@ -121,45 +112,46 @@
     const bool lies = plan_.sabotage == Sabotage::Service && nextHost_ == 1;
     hosts_.push_back(std::make_unique<Host>(
         runtime_.context(), nextHost_++, lies ? "inspection" : service, address, around, promises_));
-    const Json value { { "service", service },      { "address", toString(address) },
-                       { "zone", "kgd-north" },     { "concurrency", 3 },
-                       { "state", "ready" },        { "cold_left_ms", 0 },
-                       { "born", nextHost_ * 1000 } };
-    store_->set(hostKey(hosts_.back()->id()), value.dump());
+    store_->set(hostKey(UpstreamId { hosts_.back()->id() }), hostValue(record(*hosts_.back(), service)));
 }
 
-void World::writeHost(const Host &host, const std::string &state)
+UpstreamRecord World::record(const Host &host, const std::string &service) const
 {
-    if (plan_.sabotage == Sabotage::Withhold) {
-        return;
+    UpstreamRecord record;
+    record.id = UpstreamId { host.id() };
+    record.incarnation = Incarnation { host.id() };
+    record.service = service;
+    record.zone = "kgd-north";
+    record.address = host.address();
+    record.slots = 3;
+    record.state = host.isDraining() ? UpstreamState::Draining : UpstreamState::Active;
+    return record;
+}
+
+void World::drainHost(Host &host)
+{
+    host.setDraining(now());
+    if (plan_.sabotage != Sabotage::Withhold) {
+        store_->set(hostKey(UpstreamId { host.id() }), hostValue(record(host, host.service())));
     }
-    const Json value { { "service", host.service() },
-                       { "address", toString(host.address()) },
-                       { "zone", "kgd-north" },
-                       { "concurrency", 3 },
-                       { "state", state },
-                       { "cold_left_ms", 0 },
-                       { "born", (host.id() + 1) * 1000 } };
-    store_->set(hostKey(host.id()), value.dump());
 }
 
 void World::writeCatalogue()
 {
-    Json routes = Json::array();
+    version_ += 1 + random_.below(4);
+    CatalogueRecord catalogue;
+    catalogue.version = CatalogueVersion { version_ };
     for (const Entry &entry : entries_) {
         if (!entry.removed) {
-            const std::string text = toString(entry.address);
-            const auto colon = text.find(':');
-            routes.push_back({ { "name", text },
-                               { "host", text.substr(0, colon) },
-                               { "prefix", "/" + text.substr(colon + 1) + "/" },
-                               { "service", entry.service },
-                               { "route_type", entry.service == "ledger" ? "safe" : "unsafe" } });
+            catalogue.entries.push_back({ .name = EntryName { toString(entry.address) },
+                                          .address = entry.address,
+                                          .services = { { .service = entry.service, .weight = 1 } },
+                                          .idempotent = entry.service == "ledger" });
         }
     }
-    version_ += 1 + random_.below(4);
-    if (plan_.sabotage != Sabotage::Withhold || version_ < 5) {
-        store_->set("op/config", Json { { "version", version_ }, { "routes", routes } }.dump());
+    constexpr std::uint64_t firstWithheld = 5;
+    if (plan_.sabotage != Sabotage::Withhold || version_ < firstWithheld) {
+        store_->set(catalogueKey(), catalogueValue(catalogue));
     }
 }
 
@@ -330,15 +322,14 @@
     auto victim = std::next(hosts_.begin(), static_cast<long>(random_.below(hosts_.size())));
     Host &host = **victim;
     const Endpoint address = host.address();
-    const std::string key = hostKey(host.id());
+    const std::string key = hostKey(UpstreamId { host.id() });
     const std::string service = host.service();
     if (random_.chance(0.5)) {
         if (host.isDraining()) {
             return;
         }
         note("drain host " + std::to_string(host.id()));
-        writeHost(host, "draining");
-        host.setDraining(now());
+        drainHost(host);
         later(drainServe, [this, id = host.id(), key] {
             std::erase_if(hosts_, [&](const auto &known) { return known->id() == id; });
             store_->remove(key);
--- a/soak/world.h
+++ b/soak/world.h
@@ -4,10 +4,11 @@
 #include "drivers/asio_runtime.h"
 #include "drivers/http_call.h"
 #include "drivers/udp_socket.h"
+#include "model/directory_record.h"
+#include "platform/standins/store_standin.h"
 #include "soak/caller.h"
 #include "soak/host.h"
 #include "soak/promises.h"
-#include "soak/store_standin.h"
 #include "soak/vm_process.h"
 
 #include <functional>
@@ -99,7 +100,8 @@
     Endpoint at(std::uint8_t group, std::size_t number, std::uint16_t port) const;
     void writeSettings(const Vm &vm) const;
     void addHost(const std::string &service, const Endpoint &address);
-    void writeHost(const Host &host, const std::string &state);
+    UpstreamRecord record(const Host &host, const std::string &service) const;
+    void drainHost(Host &host);
     void writeCatalogue();
     void toFabric(std::size_t caller, std::vector<std::byte> packet);
     std::optional<std::size_t> chooseVm(std::span<const std::byte> packet) const;
