Reset flows whose upstream has ended

Cause: callers keep a flow open between requests. The check of silent hosts doesn't help there: no flow goes there any more, and the address may belong to another host that answers the check.

Ruled out: resetting as soon as the record vanishes. So a flow is reset only when its host's record has been gone for 4 s (2.5 s if the packet itself came again) and no flow of that host progressed since.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -53,7 +53,7 @@
 std::string_view taggedRefusalName(TaggedRefusal reason)
 {
     constexpr std::array<std::string_view, taggedRefusalCount> names {
-        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag", "silent_upstream"
+        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag", "silent_upstream", "ended_upstream"
     };
     return names.at(static_cast<std::size_t>(reason));
 }
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -32,6 +32,9 @@
     out.reader.collectTime = settings.changeBound / collectDivisor;
     out.reader.staleTime = settings.changeBound / staleDivisor;
     out.routing.settleTime = out.reader.collectTime + settleMargin;
+    // A record that comes back late is read at the latest with the next up-to-date answer.
+    out.routing.endedAfterMiss = settings.lapseGrace;
+    out.routing.endedAfter = settings.lapseGrace + out.reader.staleTime;
     out.drainBound = settings.stopGrace - stopMargin;
     out.flowLinesPerSecond = settings.flowLogLinesPerSecond;
     out.seed = vmNumber(settings.vm).value ^ incarnation.value;
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -146,14 +146,11 @@
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
     const bool unanswered = track(packet, host, now);
-    if (viewIsFresh && mayReset(packet, *entry, *host, now)) {
-        const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
-        if (flow != flows_.end()) {
-            release(flow->second);
-            flows_.erase(flow);
-        }
-        ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::SilentUpstream));
-        return ResetFlow { .reason = TaggedRefusal::SilentUpstream, .upstream = host->status.upstream.id };
+    const auto reset = viewIsFresh ? resetReason(packet, *entry, *host, unanswered, now) : std::nullopt;
+    if (reset) {
+        forget(packet);
+        ++counters_.resets.at(static_cast<std::size_t>(*reset));
+        return ResetFlow { .reason = *reset, .upstream = host->status.upstream.id };
     }
     ++counters_.forwarded;
     return ForwardPacket { .upstream = host->status.upstream.id,
@@ -376,14 +373,29 @@
     }
 }
 
+std::optional<TaggedRefusal> TaggedRouter::resetReason(
+    const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, bool unanswered, TimePoint now) const
+{
+    if (packet.dataBytes == 0) {
+        return std::nullopt;
+    }
+    // Progress after the record vanished shows a host that lives but doesn't reach the directory.
+    const TimePoint quietSince = std::max(host.status.vanishedAt, host.signals.lastProgress);
+    const Duration patience = unanswered ? settings_.endedAfterMiss : settings_.endedAfter;
+    if (host.status.listing == Listing::Gone && now - quietSince >= patience) {
+        return TaggedRefusal::EndedUpstream;
+    }
+    if (entry.idempotent && isCertainlySilent(host, now)) {
+        return TaggedRefusal::SilentUpstream;
+    }
+    return std::nullopt;
+}
+
 // One lost acknowledgement looks the same as a silent host, and a wrong reset breaks a flow of a living host. So misses
 // of several flows, a check without answer and progress of another host of the zone have to agree.
-bool TaggedRouter::mayReset(const FlowPacket &packet,
-                            const DirectoryEntry &entry,
-                            const Host &host,
-                            TimePoint now) const
+bool TaggedRouter::isCertainlySilent(const Host &host, TimePoint now) const
 {
-    if (!entry.idempotent || packet.dataBytes == 0 || !isSilent(host.signals, settings_.signals, now)) {
+    if (!isSilent(host.signals, settings_.signals, now)) {
         return false;
     }
     return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto &other) {
@@ -394,6 +406,15 @@
     });
 }
 
+void TaggedRouter::forget(const FlowPacket &packet)
+{
+    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+    if (flow != flows_.end()) {
+        release(flow->second);
+        flows_.erase(flow);
+    }
+}
+
 std::vector<UpstreamCheck> TaggedRouter::takeChecks()
 {
     return std::exchange(checks_, {});
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,6 +33,11 @@
     Duration synRepeatGap = std::chrono::milliseconds(120);
     /// Time after which a flow that didn't open or that has ended is forgotten; callers give up opening after 1.4 s.
     Duration endedFlowMemory = std::chrono::seconds(2);
+    /// A host whose record is gone, and of whose flows none progressed for this long, has ended: records come back
+    /// within 2.5 s after an outage, and this VM reads of it up to 1.5 s later.
+    Duration endedAfter = std::chrono::milliseconds(4000);
+    /// The same where the packet itself came again without an answer.
+    Duration endedAfterMiss = std::chrono::milliseconds(2500);
     /// Flows of which this VM keeps a record. Flows beyond are routed just the same, but tell nothing.
     std::size_t maxTrackedFlows = 100'000;
     std::uint64_t seed = 1;
@@ -45,10 +51,11 @@
     UnknownTag, ///< No known upstream has the packet's tag.
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
     SilentUpstream, ///< The flow's upstream answers nothing any more, and the caller may try again.
+    EndedUpstream, ///< The flow's upstream is no longer listed, and none of its flows makes progress.
 };
 
 /// Number of values of TaggedRefusal.
-inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::SilentUpstream) + 1;
+inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::EndedUpstream) + 1;
 
 /// Why a new flow went where it did.
 enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
@@ -202,7 +209,11 @@
     bool track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
     bool trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
     void miss(Host &host, TimePoint now);
-    bool mayReset(const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, TimePoint now) const;
+    /// Why the flow of a data packet is to be reset, if it is.
+    std::optional<TaggedRefusal> resetReason(
+        const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, bool unanswered, TimePoint now) const;
+    bool isCertainlySilent(const Host &host, TimePoint now) const;
+    void forget(const FlowPacket &packet);
     void setBusy(Flow &flow, bool busy);
     void setPhase(Flow &flow, FlowPhase phase);
     void moveTo(Flow &flow, const std::shared_ptr<Host> &host);
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -89,9 +89,64 @@
 {
     auto gone = upstream(3, ledger, home);
     gone.listing = Listing::Gone;
+    gone.vanishedAt = now;
     show({ gone });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     EXPECT_EQ(route(data(syn(1, 1), tag, 0, 1))->upstream, UpstreamId { 3 });
+    now += TaggedRouterSettings {}.endedAfter - 1ms;
+    EXPECT_EQ(route(data(syn(1, 2), tag, 0, 1))->upstream, UpstreamId { 3 });
+}
+
+// Guards callers that come back to a flow whose host has ended: without a reset their request waits until it is too
+// late to try again.
+TEST_F(TaggedRouterTest, ResetsFlowsOfEndedHosts)
+{
+    auto gone = upstream(3, ledger, home);
+    gone.listing = Listing::Gone;
+    gone.vanishedAt = now;
+    show({ gone });
+    const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
+    now += TaggedRouterSettings {}.endedAfter;
+    FlowPacket ackOnly = data(syn(1, 1), tag, 0, 1);
+    ackOnly.dataBytes = 0;
+    EXPECT_TRUE(route(ackOnly));
+    const auto decision = router.route(data(syn(1, 1), tag, 0, 1), true, now);
+    ASSERT_TRUE(std::holds_alternative<ResetFlow>(decision));
+    EXPECT_EQ(std::get<ResetFlow>(decision).reason, TaggedRefusal::EndedUpstream);
+}
+
+// Guards the second packet of such a request: it proves enough to reset earlier, but not before records had the time to
+// come back.
+TEST_F(TaggedRouterTest, ResetsRepeatedPacketsOfEndedHostsEarlier)
+{
+    auto gone = upstream(3, ledger, home);
+    gone.listing = Listing::Gone;
+    gone.vanishedAt = now;
+    show({ gone });
+    const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
+    now += TaggedRouterSettings {}.endedAfterMiss - 100ms;
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+    now += 200ms;
+    EXPECT_TRUE(std::holds_alternative<ResetFlow>(router.route(data(syn(1, 1), tag, 0, 1), true, now)));
+}
+
+// Guards flows of a host that lives but doesn't reach the directory, and all flows while this VM's view is old.
+TEST_F(TaggedRouterTest, KeepsFlowsOfVanishedHostsThatProgress)
+{
+    auto gone = upstream(3, ledger, home);
+    gone.listing = Listing::Gone;
+    gone.vanishedAt = now;
+    show({ gone });
+    const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
+    now += 3s;
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 100, 50)));
+    now += 2s;
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+    now += 3s;
+    EXPECT_TRUE(forwarded(router.route(data(syn(1, 3), tag, 0, 1), false, now)));
 }
 
 // Guards a host that started again under its id: packets of the earlier run carry another tag and take no new flow.
@@ -99,6 +154,7 @@
 {
     auto earlier = upstream(3, ledger, home, 1);
     earlier.listing = Listing::Gone;
+    earlier.vanishedAt = now;
     show({ earlier, upstream(3, ledger, home, 2) });
     const FlowTag first = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     EXPECT_EQ(route(syn(1, 1))->tag, flowTagOf(UpstreamId { 3 }, Incarnation { 2 }));
