Let requests wait at the VM while their service is crowded

Cause: hosts queue what they can't work on, first come first served.

Change: each VM limits its requests in progress at a service by the time that answers take, as a part of the entry's latency objective. A SYN that waited in vain is reset before its caller gives up; it was sent nowhere. Packets of open flows are never refused.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -67,6 +67,10 @@
         return "packet_dropped";
     case EventNumber::FlowUnanswered:
         return "flow_unanswered";
+    case EventNumber::FlowWaits:
+        return "flow_waits";
+    case EventNumber::FlowReleased:
+        return "flow_released";
     case EventNumber::RequestAccepted:
         return "request_accepted";
     case EventNumber::RequestDispatched:
--- a/core/event.h
+++ b/core/event.h
@@ -47,6 +47,8 @@
     FlowEvicted = 304,
     PacketDropped = 305,
     FlowUnanswered = 306,
+    FlowWaits = 307,
+    FlowReleased = 308,
     RequestAccepted = 400,
     RequestDispatched = 401,
     RequestAnswered = 402,
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,9 +17,10 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 49> definitions { {
+constexpr std::array<MetricDefinition, 52> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
+    { "boragelug_admission_limit", "Requests that this VM lets a service work on at once, by service.", perService },
     { "boragelug_attempts_cancelled_total", "Attempts at upstreams that were cancelled.", single },
     { "boragelug_attempts_total", "Attempts of requests at upstreams.", single },
     { "boragelug_catalogue_rejected_total", "Catalogues that were refused as a whole.", single },
@@ -58,6 +59,8 @@
     { "boragelug_request_duration_seconds", "Time from arrival to outcome of requests, by importance.", perReason },
     { "boragelug_request_retries_total", "Further attempts of requests.", single },
     { "boragelug_requests_total", "Outcomes of requests, by entry and outcome.", 4 * perEntry },
+    { "boragelug_requests_waited_total", "Requests that had to wait for room at their service.", single },
+    { "boragelug_requests_waiting", "Requests that wait for room at their service.", single },
     { "boragelug_service_mismatch_total", "Packets refused because flow and upstream differ in service.", single },
     { "boragelug_slot_excess", "Slots in use beyond what hosts have, as known to this VM, by service.", perService },
     { "boragelug_upstream_checks_total", "Checks of the addresses of suspected upstreams.", single },
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -53,6 +53,12 @@
     std::vector<ServiceShare> services;
     /// Callers may repeat its requests after any failure.
     bool idempotent = false;
+    /// Time in which callers expect an answer; zero if the catalogue doesn't say.
+    Duration latencyObjective {};
+    /// Time after which its callers give a request up; zero if the catalogue doesn't say.
+    Duration timeout {};
+    /// Importance of its requests; 0 goes first.
+    std::uint32_t priority = 0;
 
     bool operator==(const EntryRecord &) const = default;
 };
--- a/model/directory_view.h
+++ b/model/directory_view.h
@@ -46,6 +46,12 @@
     std::vector<std::pair<ServiceId, std::uint32_t>> services;
     /// Callers may repeat its requests after any failure.
     bool idempotent = false;
+    /// Time in which callers expect an answer; zero if the catalogue doesn't say.
+    Duration latencyObjective {};
+    /// Time after which its callers give a request up; zero if the catalogue doesn't say.
+    Duration timeout {};
+    /// Importance of its requests; 0 goes first.
+    std::uint32_t priority = 0;
 };
 
 /**
--- a/model/flow_packet.h
+++ b/model/flow_packet.h
@@ -21,6 +21,8 @@
     std::uint32_t sequence = 0;
     std::uint32_t acknowledged = 0;
     std::uint16_t dataBytes = 0;
+    /// SYN: copies of it that the caller sent before this one.
+    std::uint32_t synCopies = 0;
     bool syn = false;
     bool ack = false;
     bool fin = false;
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -42,6 +42,43 @@
     return EventNumber::RecordUnreadable;
 }
 
+void addForwardFields(const ForwardPacket &forward, NodeEvent &event)
+{
+    event.number = forward.placed ? EventNumber::FlowPlaced : EventNumber::FlowUnanswered;
+    event.fields.emplace_back("upstream", causeText(forward.upstream.value));
+    event.fields.emplace_back("address", toString(forward.address));
+    if (forward.placed) {
+        event.fields.emplace_back("reason", reasonName(forward.reason));
+        event.fields.emplace_back("cost", std::to_string(forward.cost));
+        event.fields.emplace_back("compared", std::to_string(forward.compared));
+    }
+}
+
+/// Number and fields of the event that tells of @p decision.
+NodeEvent decisionEvent(const FlowPacket &packet, const TaggedDecision &decision)
+{
+    NodeEvent event;
+    event.fields = { { "caller", toString(packet.caller) }, { "entry", toString(packet.entry) } };
+    if (const auto *forward = std::get_if<ForwardPacket>(&decision)) {
+        addForwardFields(*forward, event);
+    } else if (const auto *keep = std::get_if<KeepPacket>(&decision)) {
+        event.number = EventNumber::FlowWaits;
+        event.fields.emplace_back("in_progress", std::to_string(keep->inProgress));
+        event.fields.emplace_back("limit", std::to_string(keep->limit));
+        event.fields.emplace_back("mean_share_of_objective", std::to_string(keep->meanShare));
+    } else if (const auto *reset = std::get_if<ResetFlow>(&decision)) {
+        event.number = EventNumber::FlowRefused;
+        event.fields.emplace_back("reason", taggedRefusalName(reset->reason));
+        if (reset->upstream != UpstreamId {}) {
+            event.fields.emplace_back("upstream", causeText(reset->upstream.value));
+        }
+    } else {
+        event.number = EventNumber::PacketDropped;
+        event.fields.emplace_back("reason", taggedRefusalName(std::get<IgnorePacket>(decision).reason));
+    }
+    return event;
+}
+
 } // namespace
 
 std::uint64_t flowCause(const Endpoint &caller, const Endpoint &entry)
@@ -52,9 +89,10 @@
 
 std::string_view taggedRefusalName(TaggedRefusal reason)
 {
-    constexpr std::array<std::string_view, taggedRefusalCount> names {
-        "no_view", "unknown_entry", "no_upstream", "unknown_tag", "foreign_tag", "silent_upstream", "ended_upstream"
-    };
+    constexpr std::array<std::string_view, taggedRefusalCount> names { "no_view",        "unknown_entry",
+                                                                       "no_upstream",    "unknown_tag",
+                                                                       "foreign_tag",    "silent_upstream",
+                                                                       "ended_upstream", "crowded" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -63,26 +101,91 @@
     , mirror_(settings.mirror)
     , reader_(mirror_, settings.reader)
     , router_(settings.routing)
+    , waiting_(settings.waiting)
     , random_(settings.seed)
     , placementLines_(settings.flowLinesPerSecond)
     , problemLines_(settings.flowLinesPerSecond)
 { }
 
-TaggedDecision TaggedNode::handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events)
+TaggedDecision TaggedNode::handlePacket(const FlowPacket &packet,
+                                        TimePoint now,
+                                        std::vector<NodeEvent> &events,
+                                        std::span<const std::byte> bytes)
 {
     lastPacket_ = now;
-    const TaggedDecision decision = router_.route(packet, reader_.isFresh(now), now);
-    noteDecision(packet, decision, now, events);
+    const TaggedDecision decision = decide(packet, now, bytes);
+    noteDecision(packet, decision, std::nullopt, now, events);
     return decision;
 }
 
+TaggedDecision TaggedNode::decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes)
+{
+    if (!waiting_.empty() && waiting_.holds(packet)) {
+        if (!packet.reset) {
+            waiting_.append(packet, bytes);
+            return KeepPacket {};
+        }
+        waiting_.drop(packet);
+    }
+    const TaggedDecision decision = router_.route(packet, reader_.isFresh(now), now, !waiting_.isFull());
+    if (const auto *keep = std::get_if<KeepPacket>(&decision)) {
+        waiting_.add(keep->facts, packet, bytes, now);
+        ++waitedRequests_;
+    }
+    return decision;
+}
+
+std::vector<ReleasedPacket> TaggedNode::takeReleased(TimePoint now, std::vector<NodeEvent> &events)
+{
+    std::vector<ReleasedPacket> released;
+    if (waiting_.empty()) {
+        return released;
+    }
+    for (const ServiceId service : waiting_.services()) {
+        while (router_.hasRoom(service, false, now)) {
+            auto request = waiting_.takeNext(service, router_.hasRoom(service, true, now), now);
+            if (!request) {
+                break;
+            }
+            release(std::move(*request), now, released);
+        }
+    }
+    // A flow that isn't open yet can be refused with certainty. An open one can't: its host lives, and a reset would
+    // break it.
+    for (WaitingRequest &request : waiting_.takeExpired(now)) {
+        if (request.packets.front().head.syn) {
+            released.push_back({ .packet = std::move(request.packets.front()),
+                                 .decision = router_.refuseCrowded(),
+                                 .waited = now - request.keptSince });
+        } else {
+            release(std::move(request), now, released);
+        }
+    }
+    for (const ReleasedPacket &packet : released) {
+        noteDecision(packet.packet.head, packet.decision, packet.waited, now, events);
+    }
+    return released;
+}
+
+void TaggedNode::release(WaitingRequest request, TimePoint now, std::vector<ReleasedPacket> &released)
+{
+    for (WaitingPacket &packet : request.packets) {
+        TaggedDecision decision = router_.route(packet.head, reader_.isFresh(now), now);
+        released.push_back({ .packet = std::move(packet), .decision = decision, .waited = now - request.keptSince });
+    }
+}
+
 void TaggedNode::noteDecision(const FlowPacket &packet,
                               const TaggedDecision &decision,
+                              std::optional<Duration> waited,
                               TimePoint now,
                               std::vector<NodeEvent> &events)
 {
     const auto *forward = std::get_if<ForwardPacket>(&decision);
-    if (forward != nullptr && !forward->placed && !forward->unanswered) {
+    const auto *keep = std::get_if<KeepPacket>(&decision);
+    const bool ofOpenFlow = forward != nullptr && !forward->placed && !forward->unanswered;
+    // A further packet of a request that waits, or an ordinary one of an open flow, decides nothing.
+    if ((ofOpenFlow && !waited) || (keep != nullptr && keep->limit == 0)) {
         return;
     }
     const std::uint64_t cause = flowCause(packet.caller, packet.entry);
@@ -91,35 +194,24 @@
     if (!lines.admit(cause, now)) {
         return;
     }
-    NodeEvent event { .number = EventNumber::FlowPlaced,
-                      .causeId = cause,
-                      .fields = { { "caller", toString(packet.caller) }, { "entry", toString(packet.entry) } } };
-    if (forward != nullptr) {
-        event.fields.emplace_back("upstream", causeText(forward->upstream.value));
-        event.fields.emplace_back("address", toString(forward->address));
-        if (forward->placed) {
-            event.fields.emplace_back("reason", reasonName(forward->reason));
-            event.fields.emplace_back("cost", std::to_string(forward->cost));
-            event.fields.emplace_back("compared", std::to_string(forward->compared));
-        } else {
-            event.number = EventNumber::FlowUnanswered;
-        }
-    } else {
-        const auto *reset = std::get_if<ResetFlow>(&decision);
-        event.number = reset != nullptr ? EventNumber::FlowRefused : EventNumber::PacketDropped;
-        const TaggedRefusal reason = reset != nullptr ? reset->reason : std::get<IgnorePacket>(decision).reason;
-        event.fields.emplace_back("reason", taggedRefusalName(reason));
-        if (reset != nullptr && reset->upstream != UpstreamId {}) {
-            event.fields.emplace_back("upstream", causeText(reset->upstream.value));
-        }
+    NodeEvent event = decisionEvent(packet, decision);
+    event.causeId = cause;
+    if (waited) {
+        event.number = ofOpenFlow ? EventNumber::FlowReleased : event.number;
+        event.fields.emplace_back("waited_ms", milliseconds(*waited));
     }
+    addViewFields(lines, now, event);
+    events.push_back(std::move(event));
+}
+
+void TaggedNode::addViewFields(FlowSampler &lines, TimePoint now, NodeEvent &event) const
+{
     event.fields.emplace_back("catalogue", std::to_string(view_ ? view_->version.value : 0));
     event.fields.emplace_back("revision", std::to_string(view_ ? view_->revision.value : 0));
     event.fields.emplace_back("view_age_ms", viewAgeText(now));
     if (const std::uint64_t leftOut = lines.takeLeftOut(); leftOut > 0) {
         event.fields.emplace_back("flow_lines_left_out", std::to_string(leftOut));
     }
-    events.push_back(std::move(event));
 }
 
 std::optional<Duration> TaggedNode::viewAge(TimePoint now) const
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -6,11 +6,14 @@
 #include "model/flow_packet.h"
 #include "node/node_action.h"
 #include "routing/tagged_router.h"
+#include "routing/waiting_requests.h"
 #include "views/directory_mirror.h"
 #include "views/directory_reader.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -23,6 +26,7 @@
     MirrorSettings mirror;
     ReaderSettings reader;
     TaggedRouterSettings routing;
+    WaitingSettings waiting;
     /// After a longer gap between ticks the process acts on old state.
     Duration pauseThreshold = std::chrono::seconds(1);
     /// Time that the fabric takes to notice that this VM leaves: two missed checks at two a second, and a margin.
@@ -36,6 +40,14 @@
     std::uint64_t seed = 1;
 };
 
+/// A packet that was kept, and what is to be done with it now.
+struct ReleasedPacket
+{
+    WaitingPacket packet;
+    TaggedDecision decision;
+    Duration waited {};
+};
+
 /**
  * One entry VM of a fabric that carries a flow tag: joins the directory's view and routing.
  *
@@ -47,8 +59,20 @@
 public:
     explicit TaggedNode(const TaggedNodeSettings &settings);
 
-    /// Decides on one packet of a caller; what operators may want to know is added to @p events.
-    TaggedDecision handlePacket(const FlowPacket &packet, TimePoint now, std::vector<NodeEvent> &events);
+    /// Decides on one packet of a caller; what operators may want to know is added to @p events. For a KeepPacket the
+    /// node has copied @p bytes, and nothing is to be done until takeReleased() returns them.
+    TaggedDecision handlePacket(const FlowPacket &packet,
+                                TimePoint now,
+                                std::vector<NodeEvent> &events,
+                                std::span<const std::byte> bytes = {});
+
+    /// Packets that were kept and have to be sent or refused now. To be asked after every packet and tick.
+    std::vector<ReleasedPacket> takeReleased(TimePoint now, std::vector<NodeEvent> &events);
+
+    /// Requests that wait for room at their service.
+    std::size_t waitingRequests() const { return waiting_.size(); }
+    /// Requests that have waited since the start.
+    std::uint64_t waitedRequests() const { return waitedRequests_; }
 
     /// The directory answered a call of this node.
     std::vector<NodeEvent> handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now);
@@ -91,10 +115,14 @@
 
 private:
     void publish(TimePoint now);
+    TaggedDecision decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes);
+    void release(WaitingRequest request, TimePoint now, std::vector<ReleasedPacket> &released);
     void noteDecision(const FlowPacket &packet,
                       const TaggedDecision &decision,
+                      std::optional<Duration> waited,
                       TimePoint now,
                       std::vector<NodeEvent> &events);
+    void addViewFields(FlowSampler &lines, TimePoint now, NodeEvent &event) const;
     void appendChanges(const std::vector<MirrorChange> &changes, std::vector<NodeEvent> &events) const;
     std::string viewAgeText(TimePoint now) const;
 
@@ -102,6 +130,8 @@
     DirectoryMirror mirror_;
     DirectoryReader reader_;
     TaggedRouter router_;
+    WaitingRequests waiting_;
+    std::uint64_t waitedRequests_ = 0;
     Random random_;
     std::shared_ptr<const DirectoryView> view_;
     FlowSampler placementLines_;
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -146,6 +146,11 @@
         totals_.add("boragelug_flows_refused_total", counters.resets.at(i), { { "reason", reason } });
         totals_.add("boragelug_packets_dropped_total", counters.ignored.at(i), { { "reason", reason } });
     }
+    totals_.add("boragelug_requests_waited_total", node_.waitedRequests());
+    metrics_.set("boragelug_requests_waiting", static_cast<double>(node_.waitingRequests()), {});
+    for (const auto &[service, limit] : node_.router().admissionLimits()) {
+        metrics_.set("boragelug_admission_limit", limit, { { "service", serviceName(service) } });
+    }
     if (!node_.view()) {
         return;
     }
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -94,7 +94,21 @@
 void TaggedProcess::receivePacket(const FlowPacket &head, std::span<const std::byte> packet)
 {
     packetEvents_.clear();
-    const TaggedDecision decision = node_.handlePacket(head, now(), packetEvents_);
+    carryOut(node_.handlePacket(head, now(), packetEvents_, packet), head, packet);
+    releasePackets();
+    record(std::move(packetEvents_));
+    checkUpstreams();
+}
+
+void TaggedProcess::releasePackets()
+{
+    for (const ReleasedPacket &released : node_.takeReleased(now(), packetEvents_)) {
+        carryOut(released.decision, released.packet.head, released.packet.bytes);
+    }
+}
+
+void TaggedProcess::carryOut(const TaggedDecision &decision, const FlowPacket &head, std::span<const std::byte> packet)
+{
     bool sent = true;
     if (const auto *forward = std::get_if<ForwardPacket>(&decision)) {
         sent = parts_.fabric.forward(packet, forward->tag, forward->upstream, forward->address);
@@ -104,8 +118,6 @@
     if (!sent) {
         parts_.metrics.add("boragelug_packet_send_failures_total", 1, {});
     }
-    record(std::move(packetEvents_));
-    checkUpstreams();
 }
 
 void TaggedProcess::checkUpstreams()
@@ -155,6 +167,9 @@
 void TaggedProcess::tick()
 {
     record(node_.tick(now()));
+    packetEvents_.clear();
+    releasePackets();
+    record(std::move(packetEvents_));
     parts_.logBuffer.drain();
     if (node_.isDrained(now())) {
         stop();
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -55,6 +55,8 @@
 
 private:
     void receivePacket(const FlowPacket &head, std::span<const std::byte> packet);
+    void carryOut(const TaggedDecision &decision, const FlowPacket &head, std::span<const std::byte> packet);
+    void releasePackets();
     void checkUpstreams();
     void callDirectory();
     void scheduleCall();
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -129,7 +129,7 @@
     return nullptr;
 }
 
-TaggedDecision TaggedRouter::route(const FlowPacket &packet, bool viewIsFresh, TimePoint now)
+TaggedDecision TaggedRouter::route(const FlowPacket &packet, bool viewIsFresh, TimePoint now, bool mayWait)
 {
     if (!view_) {
         return refuse(TaggedRefusal::NoView, false);
@@ -139,13 +139,18 @@
         return refuse(TaggedRefusal::UnknownEntry, viewIsFresh && packet.syn);
     }
     if (packet.syn) {
-        return routeSyn(packet, *entry, viewIsFresh, now);
+        return routeSyn(packet, *entry, viewIsFresh, now, mayWait);
     }
     const auto host = findTagged(packet.tag, *entry);
     if (!host) {
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
-    const bool unanswered = track(packet, host, now);
+    if (mayWait) {
+        if (const auto kept = keepData(packet, *entry, host->status.upstream.service, now)) {
+            return *kept;
+        }
+    }
+    const bool unanswered = track(packet, *entry, host, now);
     const auto reset = viewIsFresh ? resetReason(packet, *entry, *host, unanswered, now) : std::nullopt;
     if (reset) {
         forget(packet);
@@ -159,11 +164,16 @@
                            .unanswered = unanswered };
 }
 
-TaggedDecision
-TaggedRouter::routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now)
+TaggedDecision TaggedRouter::routeSyn(
+    const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayWait)
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
     if (found == flows_.end() || found->second.synSequence != packet.sequence) {
+        const ServiceId service = serviceOf(entry, packet);
+        const WaitingFacts facts = waitingFacts(packet, entry, service, false, now);
+        if (mayWait && placeable_.contains(service) && !hasRoom(service, now >= facts.lateAt, now)) {
+            return keep(facts);
+        }
         return place(packet, entry, PlacementReason::First, viewIsFresh, now);
     }
     Flow &flow = found->second;
@@ -182,6 +192,102 @@
     return place(packet, entry, PlacementReason::OtherAfterNoAnswer, viewIsFresh, now);
 }
 
+// Data of a flow that waits for an answer belongs to a request that went on already.
+std::optional<KeepPacket>
+TaggedRouter::keepData(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now)
+{
+    if (packet.dataBytes == 0) {
+        return std::nullopt;
+    }
+    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+    const bool known = flow != flows_.end();
+    const bool begins = !known
+        || (!flow->second.busy && flow->second.phase != FlowPhase::Ended
+            && isAfter(packet.sequence + packet.dataBytes, flow->second.nextSequence));
+    if (!begins) {
+        return std::nullopt;
+    }
+    const WaitingFacts facts = waitingFacts(packet, entry, service, !known, now);
+    return hasRoom(service, now >= facts.lateAt, now) ? std::nullopt : std::optional(keep(facts));
+}
+
+KeepPacket TaggedRouter::keep(const WaitingFacts &facts)
+{
+    const ServiceAdmission &state = admission(facts.service);
+    return { .facts = facts, .inProgress = state.inProgress(), .limit = state.limit(), .meanShare = state.meanShare() };
+}
+
+WaitingFacts TaggedRouter::waitingFacts(
+    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint now) const
+{
+    const AdmissionSettings &settings = settings_.admission;
+    WaitingFacts facts { .service = service, .sentAt = now, .lateAt = {}, .expiresAt = {}, .priority = entry.priority };
+    if (packet.synCopies > 0) {
+        facts.sentAt -= packet.synCopies == 1 ? settings.firstCopy : settings.secondCopy;
+    } else if (unknownFlow) {
+        // Most likely a copy: the first packet was lost, or went to a VM that is gone.
+        facts.sentAt -= settings.firstCopy;
+    }
+    facts.lateAt = facts.sentAt
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(entry.latencyObjective)
+                                               * settings.lateShare);
+    if (packet.syn) {
+        facts.expiresAt = facts.sentAt + settings.openingTimeout;
+        return facts;
+    }
+    const Duration timeout = entry.timeout > Duration::zero() ? entry.timeout : settings.defaultTimeout;
+    // What is left after that is needed to serve it.
+    facts.expiresAt = facts.sentAt + timeout - entry.latencyObjective;
+    return facts;
+}
+
+bool TaggedRouter::hasRoom(ServiceId service, bool late, TimePoint now)
+{
+    return admission(service).hasRoom(late, now);
+}
+
+ServiceAdmission &TaggedRouter::admission(ServiceId service)
+{
+    const auto found = admissions_.find(service);
+    if (found != admissions_.end()) {
+        return found->second;
+    }
+    return admissions_.try_emplace(service, settings_.admission, localSlots(service)).first->second;
+}
+
+// A VM doesn't know how many others there are. Those of its zone share the zone's hosts, so that all of them together
+// start with a small multiple of the slots; answers show within a few objectives whether that is too much.
+double TaggedRouter::localSlots(ServiceId service) const
+{
+    double local = 0;
+    double all = 0;
+    const auto members = placeable_.find(service);
+    if (members == placeable_.end()) {
+        return 0;
+    }
+    for (const auto &host : members->second) {
+        all += host->status.slots;
+        local += host->status.upstream.zone == view_->selfZone ? host->status.slots : 0;
+    }
+    return local > 0 ? local : all;
+}
+
+ResetFlow TaggedRouter::refuseCrowded()
+{
+    ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::Crowded));
+    return ResetFlow { .reason = TaggedRefusal::Crowded, .upstream = {} };
+}
+
+std::vector<std::pair<ServiceId, double>> TaggedRouter::admissionLimits() const
+{
+    std::vector<std::pair<ServiceId, double>> limits;
+    limits.reserve(admissions_.size());
+    for (const auto &[service, admission] : admissions_) {
+        limits.emplace_back(service, admission.limit());
+    }
+    return limits;
+}
+
 PlacementCandidate TaggedRouter::candidateFacts(const Host &host, TimePoint now) const
 {
     PlacementCandidate facts;
@@ -255,9 +361,10 @@
         flow.nextSequence = packet.sequence + 1;
         flow.lastPacket = now;
         flow.synSentAt = now;
+        flow.objective = entry.latencyObjective;
         moveTo(flow, host);
         // A caller that opens a flow is about to send a request.
-        setBusy(flow, true);
+        beginRequest(flow, now);
     }
     return ForwardPacket { .upstream = host->status.upstream.id,
                            .address = host->status.upstream.tunnelEndpoint,
@@ -273,7 +380,6 @@
     release(flow);
     flow.host = host;
     flow.host->open += flow.phase != FlowPhase::Ended ? 1 : 0;
-    flow.host->busy += flow.busy ? 1 : 0;
 }
 
 void TaggedRouter::release(Flow &flow)
@@ -281,16 +387,33 @@
     if (!flow.host) {
         return;
     }
+    endRequest(flow, false, {});
     flow.host->open -= flow.phase != FlowPhase::Ended ? 1 : 0;
-    flow.host->busy -= flow.busy ? 1 : 0;
     flow.host.reset();
 }
 
-void TaggedRouter::setBusy(Flow &flow, bool busy)
+void TaggedRouter::beginRequest(Flow &flow, TimePoint now)
+{
+    if (flow.busy) {
+        return;
+    }
+    flow.busy = true;
+    flow.host->busy += 1;
+    flow.service = flow.host->status.upstream.service;
+    flow.ticket = admission(flow.service).begin(flow.objective, now);
+}
+
+void TaggedRouter::endRequest(Flow &flow, bool answered, TimePoint now)
 {
-    if (flow.busy != busy) {
-        flow.host->busy += busy ? 1 : -1;
-        flow.busy = busy;
+    if (!flow.busy) {
+        return;
+    }
+    flow.busy = false;
+    flow.host->busy -= 1;
+    if (answered) {
+        admission(flow.service).finish(flow.ticket, now);
+    } else {
+        admission(flow.service).abandon(flow.ticket);
     }
 }
 
@@ -302,7 +425,10 @@
     flow.phase = phase;
 }
 
-bool TaggedRouter::track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now)
+bool TaggedRouter::track(const FlowPacket &packet,
+                         const DirectoryEntry &entry,
+                         const std::shared_ptr<Host> &host,
+                         TimePoint now)
 {
     const FlowId id { packet.caller, packet.entry };
     auto found = flows_.find(id);
@@ -314,6 +440,7 @@
         found->second.phase = FlowPhase::Open;
         found->second.nextSequence = packet.sequence;
         found->second.acknowledged = packet.acknowledged;
+        found->second.objective = entry.latencyObjective;
         moveTo(found->second, host);
     }
     Flow &flow = found->second;
@@ -328,7 +455,9 @@
     }
     const bool unanswered = trackData(packet, flow, now);
     if (packet.fin || packet.reset) {
-        setBusy(flow, packet.reset ? false : flow.busy);
+        if (packet.reset) {
+            endRequest(flow, false, now);
+        }
         setPhase(flow, FlowPhase::Ended);
     }
     return unanswered;
@@ -340,7 +469,7 @@
         flow.acknowledged = packet.acknowledged;
         flow.missed = false;
         noteProgress(flow.host->signals, now);
-        setBusy(flow, false);
+        endRequest(flow, true, now);
     }
     if (packet.dataBytes == 0) {
         return false;
@@ -349,7 +478,7 @@
     if (isAfter(end, flow.nextSequence)) {
         flow.nextSequence = end;
         if (flow.phase != FlowPhase::Ended) {
-            setBusy(flow, true);
+            beginRequest(flow, now);
         }
         return false;
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -3,8 +3,10 @@
 #include "core/random.h"
 #include "model/directory_view.h"
 #include "model/flow_packet.h"
+#include "routing/service_admission.h"
 #include "routing/tagged_placement.h"
 #include "routing/upstream_signals.h"
+#include "routing/waiting_requests.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -26,6 +28,7 @@
 {
     SignalSettings signals;
     TaggedPlacementSettings placement;
+    AdmissionSettings admission;
     /// A new upstream gets flows when all VMs should have read of it: the pause between their watches plus an answer.
     Duration settleTime = std::chrono::milliseconds(1500);
     /// A repeated SYN goes to the same upstream if the first one left this VM less than this before: both then waited
@@ -52,10 +55,11 @@
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
     SilentUpstream, ///< The flow's upstream answers nothing any more, and the caller may try again.
     EndedUpstream, ///< The flow's upstream is no longer listed, and none of its flows makes progress.
+    Crowded, ///< The request waited too long for room at its service; it was not sent to any upstream.
 };
 
 /// Number of values of TaggedRefusal.
-inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::EndedUpstream) + 1;
+inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::Crowded) + 1;
 
 /// Why a new flow went where it did.
 enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
@@ -90,7 +94,17 @@
     TaggedRefusal reason = TaggedRefusal::UnknownEntry;
 };
 
-using TaggedDecision = std::variant<ForwardPacket, ResetFlow, IgnorePacket>;
+/// Starts a request for which its service has no room now; the packet is to be kept until hasRoom().
+struct KeepPacket
+{
+    WaitingFacts facts;
+    /// What decided: requests in progress, their limit, and the mean time of answers as a part of their objectives.
+    std::size_t inProgress = 0;
+    double limit = 0;
+    double meanShare = 0;
+};
+
+using TaggedDecision = std::variant<ForwardPacket, ResetFlow, IgnorePacket, KeepPacket>;
 
 /// Counters since the start of a TaggedRouter.
 struct TaggedCounters
@@ -147,8 +161,19 @@
     /// Replaces the view. Precondition: @p view isn't null.
     void applyView(std::shared_ptr<const DirectoryView> view, TimePoint now);
 
-    /// Decides on one packet. @p viewIsFresh says whether the view is recent enough to refuse what it doesn't hold.
-    TaggedDecision route(const FlowPacket &packet, bool viewIsFresh, TimePoint now);
+    /// Decides on one packet. @p viewIsFresh says whether the view is recent enough to refuse what it doesn't hold, and
+    /// @p mayWait whether the packet can be kept until its service has room.
+    TaggedDecision route(const FlowPacket &packet, bool viewIsFresh, TimePoint now, bool mayWait = false);
+
+    /// Whether @p service has room for one more request of this VM; @p late says that it can't be answered in time any
+    /// more.
+    bool hasRoom(ServiceId service, bool late, TimePoint now);
+
+    /// Counts a flow that waited in vain and is reset.
+    ResetFlow refuseCrowded();
+
+    /// Requests that this VM lets each service work on at once.
+    std::vector<std::pair<ServiceId, double>> admissionLimits() const;
 
     /// Forgets old flows. To be called about ten times a second; returns changed beliefs.
     std::vector<UpstreamBelief> tick(TimePoint now);
@@ -185,6 +210,10 @@
         bool busy = false;
         /// The packet in flight was already counted as missed.
         bool missed = false;
+        /// The service that the request in progress counts at.
+        ServiceId service;
+        ServiceAdmission::Ticket ticket = 0;
+        Duration objective {};
         std::uint32_t synSequence = 0;
         std::uint32_t nextSequence = 0;
         std::uint32_t acknowledged = 0;
@@ -199,14 +228,26 @@
 
     const DirectoryEntry *findEntry(const Endpoint &address) const;
     std::shared_ptr<Host> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
-    TaggedDecision routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now);
+    TaggedDecision
+    routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayWait);
+    std::optional<KeepPacket>
+    keepData(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now);
+    /// Facts of a request whose first packet is this; @p unknownFlow says that this VM has no record of its flow.
+    WaitingFacts waitingFacts(const FlowPacket &packet,
+                              const DirectoryEntry &entry,
+                              ServiceId service,
+                              bool unknownFlow,
+                              TimePoint now) const;
+    KeepPacket keep(const WaitingFacts &facts);
+    ServiceAdmission &admission(ServiceId service);
+    double localSlots(ServiceId service) const;
     TaggedDecision place(
         const FlowPacket &packet, const DirectoryEntry &entry, PlacementReason reason, bool viewIsFresh, TimePoint now);
     std::vector<std::shared_ptr<Host>>
     candidates(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now);
     PlacementCandidate candidateFacts(const Host &host, TimePoint now) const;
     /// Whether the packet shows that its upstream didn't answer; so does trackData().
-    bool track(const FlowPacket &packet, const std::shared_ptr<Host> &host, TimePoint now);
+    bool track(const FlowPacket &packet, const DirectoryEntry &entry, const std::shared_ptr<Host> &host, TimePoint now);
     bool trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
     void miss(Host &host, TimePoint now);
     /// Why the flow of a data packet is to be reset, if it is.
@@ -214,7 +255,9 @@
         const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, bool unanswered, TimePoint now) const;
     bool isCertainlySilent(const Host &host, TimePoint now) const;
     void forget(const FlowPacket &packet);
-    void setBusy(Flow &flow, bool busy);
+    void beginRequest(Flow &flow, TimePoint now);
+    /// Ends the request in progress; @p answered says whether an answer arrived.
+    void endRequest(Flow &flow, bool answered, TimePoint now);
     void setPhase(Flow &flow, FlowPhase phase);
     void moveTo(Flow &flow, const std::shared_ptr<Host> &host);
     void release(Flow &flow);
@@ -229,6 +272,7 @@
     /// All hosts by tag, the earliest incarnation first.
     absl::flat_hash_map<FlowTag, std::vector<std::shared_ptr<Host>>> byTag_;
     absl::flat_hash_map<FlowId, Flow> flows_;
+    std::map<ServiceId, ServiceAdmission> admissions_;
     std::vector<UpstreamCheck> checks_;
     TimePoint nextSweep_;
     TaggedCounters counters_;
--- /dev/null
+++ b/routing/waiting_requests.cpp
@@ -0,0 +1,131 @@
+#include "routing/waiting_requests.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragelug
+{
+namespace
+{
+
+bool isSameFlow(const FlowPacket &left, const FlowPacket &right)
+{
+    return left.caller == right.caller && left.entry == right.entry;
+}
+
+bool isCopy(const FlowPacket &left, const FlowPacket &right)
+{
+    return left.sequence == right.sequence && left.syn == right.syn && left.fin == right.fin
+        && left.dataBytes == right.dataBytes;
+}
+
+bool isLate(const WaitingRequest &request, TimePoint now)
+{
+    return now >= request.facts.lateAt;
+}
+
+bool goesBefore(const WaitingRequest &left, const WaitingRequest &right, TimePoint now)
+{
+    const bool leftLate = isLate(left, now);
+    if (leftLate != isLate(right, now)) {
+        return !leftLate;
+    }
+    if (left.facts.priority != right.facts.priority) {
+        return left.facts.priority < right.facts.priority;
+    }
+    return leftLate ? left.facts.sentAt < right.facts.sentAt : left.facts.sentAt > right.facts.sentAt;
+}
+
+} // namespace
+
+WaitingRequests::WaitingRequests(const WaitingSettings &settings)
+    : settings_(settings)
+{ }
+
+WaitingRequests::Requests::iterator WaitingRequests::find(const FlowPacket &packet)
+{
+    return std::find_if(requests_.begin(), requests_.end(), [&](const WaitingRequest &request) {
+        return isSameFlow(request.packets.front().head, packet);
+    });
+}
+
+bool WaitingRequests::holds(const FlowPacket &packet) const
+{
+    return std::any_of(requests_.begin(), requests_.end(), [&](const WaitingRequest &request) {
+        return isSameFlow(request.packets.front().head, packet);
+    });
+}
+
+void WaitingRequests::add(const WaitingFacts &facts,
+                          const FlowPacket &head,
+                          std::span<const std::byte> bytes,
+                          TimePoint now)
+{
+    requests_.push_back({ .facts = facts, .keptSince = now, .packets = {} });
+    requests_.back().packets.push_back({ .head = head, .bytes = { bytes.begin(), bytes.end() } });
+}
+
+void WaitingRequests::append(const FlowPacket &head, std::span<const std::byte> bytes)
+{
+    const auto request = find(head);
+    if (request == requests_.end() || request->packets.size() >= settings_.maxPackets) {
+        return;
+    }
+    const bool kept = std::any_of(request->packets.begin(), request->packets.end(), [&](const WaitingPacket &packet) {
+        return isCopy(packet.head, head);
+    });
+    if (!kept) {
+        request->packets.push_back({ .head = head, .bytes = { bytes.begin(), bytes.end() } });
+    }
+}
+
+void WaitingRequests::drop(const FlowPacket &packet)
+{
+    const auto request = find(packet);
+    if (request != requests_.end()) {
+        requests_.erase(request);
+    }
+}
+
+std::vector<ServiceId> WaitingRequests::services() const
+{
+    std::vector<ServiceId> all;
+    for (const WaitingRequest &request : requests_) {
+        if (std::find(all.begin(), all.end(), request.facts.service) == all.end()) {
+            all.push_back(request.facts.service);
+        }
+    }
+    return all;
+}
+
+std::optional<WaitingRequest> WaitingRequests::takeNext(ServiceId service, bool lateToo, TimePoint now)
+{
+    auto next = requests_.end();
+    for (auto it = requests_.begin(); it != requests_.end(); ++it) {
+        if (it->facts.service == service && (next == requests_.end() || goesBefore(*it, *next, now))) {
+            next = it;
+        }
+    }
+    if (next == requests_.end() || (!lateToo && isLate(*next, now))) {
+        return std::nullopt;
+    }
+    WaitingRequest taken = std::move(*next);
+    requests_.erase(next);
+    return taken;
+}
+
+std::vector<WaitingRequest> WaitingRequests::takeExpired(TimePoint now)
+{
+    std::vector<WaitingRequest> expired;
+    for (auto it = requests_.begin(); it != requests_.end();) {
+        if (now >= it->facts.expiresAt) {
+            expired.push_back(std::move(*it));
+            it = requests_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return expired;
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/tests/routing/waiting_requests_test.cpp
@@ -0,0 +1,117 @@
+#include "routing/waiting_requests.h"
+
+#include "tagged_world.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace tagged;
+
+class WaitingRequestsTest : public ::testing::Test
+{
+protected:
+    WaitingRequestsTest()
+        : waiting(WaitingSettings {})
+    { }
+
+    /// Adds a request of the flow from @p port, sent @p age ago, with 250 ms to be answered in.
+    void add(std::uint16_t port, Duration age = 0ms, std::uint32_t priority = 2)
+    {
+        const WaitingFacts facts { .service = ledger,
+                                   .sentAt = now - age,
+                                   .lateAt = now - age + 150ms,
+                                   .expiresAt = now - age + 1200ms,
+                                   .priority = priority };
+        waiting.add(facts, syn(1, port), {}, now);
+    }
+
+    std::uint16_t next(bool lateToo = true)
+    {
+        const auto request = waiting.takeNext(ledger, lateToo, now);
+        return request ? request->packets.front().head.caller.port.value : 0;
+    }
+
+    WaitingRequests waiting;
+    TimePoint now { 100s };
+};
+
+// Guards callers in a crowd: first come first served would answer all of them late.
+TEST_F(WaitingRequestsTest, TakesTheNewestThatIsInTime)
+{
+    add(1, 100ms);
+    add(2, 0ms);
+    add(3, 50ms);
+    EXPECT_EQ(next(), 2);
+    EXPECT_EQ(next(), 3);
+    EXPECT_EQ(next(), 1);
+    EXPECT_EQ(next(), 0);
+}
+
+// Guards important requests from a crowd of ordinary ones.
+TEST_F(WaitingRequestsTest, TakesImportantRequestsFirst)
+{
+    add(1, 0ms, 2);
+    add(2, 100ms, 1);
+    EXPECT_EQ(next(), 2);
+}
+
+// Guards those that are late anyway from each other: the one that waits longest is closest to giving up.
+TEST_F(WaitingRequestsTest, TakesLateRequestsLastAndInOrder)
+{
+    add(1, 300ms);
+    add(2, 600ms);
+    add(3, 0ms);
+    EXPECT_EQ(next(), 3);
+    EXPECT_EQ(next(false), 0);
+    EXPECT_EQ(next(), 2);
+    EXPECT_EQ(next(), 1);
+}
+
+// Guards a request whose packets came while it waited: they go on together and in order, copies only once.
+TEST_F(WaitingRequestsTest, KeepsFurtherPacketsOnce)
+{
+    const FlowPacket opening = syn(1, 1);
+    const FlowPacket first = data(opening, FlowTag { 7 }, 0, 1);
+    const FlowPacket second = data(opening, FlowTag { 7 }, 100, 1);
+    const std::array<std::byte, 2> bytes { std::byte { 1 }, std::byte { 2 } };
+    waiting.add({ .service = ledger, .sentAt = now, .lateAt = now + 1s, .expiresAt = now + 2s }, first, bytes, now);
+    EXPECT_TRUE(waiting.holds(second));
+    waiting.append(second, bytes);
+    waiting.append(first, bytes);
+    const auto request = waiting.takeNext(ledger, true, now);
+    ASSERT_TRUE(request);
+    ASSERT_EQ(request->packets.size(), 2U);
+    EXPECT_EQ(request->packets[1].head, second);
+    EXPECT_EQ(request->packets[1].bytes.size(), 2U);
+    EXPECT_FALSE(waiting.holds(second));
+}
+
+// Guards memory and callers: requests whose callers are about to give up are handed out.
+TEST_F(WaitingRequestsTest, HandsOutExpiredRequests)
+{
+    add(1, 600ms);
+    add(2);
+    now += 600ms;
+    const auto expired = waiting.takeExpired(now);
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired.front().packets.front().head.caller.port.value, 1);
+    EXPECT_EQ(waiting.size(), 1U);
+}
+
+// Guards flows that their callers reset while they wait.
+TEST_F(WaitingRequestsTest, DropsAFlow)
+{
+    add(1);
+    waiting.drop(syn(1, 1));
+    EXPECT_TRUE(waiting.empty());
+}
+
+} // namespace
+} // namespace boragelug
--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -107,9 +107,13 @@
     entries_.clear();
     entries_.reserve(record.entries.size());
     for (const EntryRecord &entry : record.entries) {
-        DirectoryEntry numbered {
-            .name = entry.name, .address = entry.address, .services = {}, .idempotent = entry.idempotent
-        };
+        DirectoryEntry numbered { .name = entry.name,
+                                  .address = entry.address,
+                                  .services = {},
+                                  .idempotent = entry.idempotent,
+                                  .latencyObjective = entry.latencyObjective,
+                                  .timeout = entry.timeout,
+                                  .priority = entry.priority };
         for (const ServiceShare &share : entry.services) {
             numbered.services.emplace_back(serviceNumber(share.service), share.weight);
         }
