--- a/core/event.cpp
+++ b/core/event.cpp
@@ -53,6 +53,10 @@
         return "record_unreadable";
     case EventNumber::DirectoryCallFailed:
         return "directory_call_failed";
+    case EventNumber::RelayFollowed:
+        return "relay_followed";
+    case EventNumber::RelayLost:
+        return "relay_lost";
     case EventNumber::FlowPlaced:
         return "flow_placed";
     case EventNumber::FlowRefused:
--- a/core/event.h
+++ b/core/event.h
@@ -40,6 +40,8 @@
     ViewCertain = 215,
     RecordUnreadable = 216,
     DirectoryCallFailed = 217,
+    RelayFollowed = 218,
+    RelayLost = 219,
     FlowPlaced = 300,
     FlowRefused = 301,
     FlowGuessed = 302,
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 52> definitions { {
+constexpr std::array<MetricDefinition, 56> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_admission_limit", "Requests that this VM lets a service work on at once, by service.", perService },
@@ -39,6 +39,9 @@
     { "boragelug_flows_placed_remote_total", "New flows placed in another availability zone.", single },
     { "boragelug_flows_placed_total", "New flows placed.", single },
     { "boragelug_flows_refused_total", "Packets of flows refused, by reason.", perReason },
+    { "boragelug_followers", "VMs that learn of the directory from this one.", single },
+    { "boragelug_followers_refused_total", "Connections of followers beyond the bound.", single },
+    { "boragelug_following", "1 if this VM learns of the directory from another one, otherwise 0.", single },
     { "boragelug_imbalance", "Load of the most loaded upstream divided by the mean, by service.", perService },
     { "boragelug_members", "Peers, by health.", perReason },
     { "boragelug_metric_updates_lost_total", "Updates of metrics that were folded or dropped, by reason.", perReason },
@@ -55,6 +58,7 @@
     { "boragelug_peer_messages_unsent_total", "Peer messages that could not be sent, by reason.", perReason },
     { "boragelug_process_sleeps_total", "Pauses of the process of more than 2 s.", single },
     { "boragelug_ready", "1 if the process takes work, otherwise 0.", single },
+    { "boragelug_relay_calls_total", "Calls to VMs that read the directory for others.", single },
     { "boragelug_request_duplicates_total", "Requests that arrived again and were not dispatched again.", single },
     { "boragelug_request_duration_seconds", "Time from arrival to outcome of requests, by importance.", perReason },
     { "boragelug_request_retries_total", "Further attempts of requests.", single },
--- /dev/null
+++ b/drivers/tcp_relay_directory.cpp
@@ -0,0 +1,168 @@
+#include "drivers/tcp_relay_directory.h"
+
+#include "drivers/relay_codec.h"
+#include "drivers/udp_socket.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace boragelug
+{
+
+/// A connection to one VM. Keeps itself alive while a call is in progress.
+class TcpRelayDirectory::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(asio::io_context &context, const Endpoint &relay)
+        : relay_(relay)
+        , socket_(context)
+        , timer_(context)
+    { }
+
+    const Endpoint &relay() const { return relay_; }
+    bool isBroken() const { return broken_; }
+
+    void call(std::uint64_t id, Duration timeout, std::vector<std::byte> request, Done done)
+    {
+        id_ = id;
+        done_ = std::move(done);
+        out_ = std::move(request);
+        timer_.expires_after(timeout);
+        timer_.async_wait([self = shared_from_this(), id](const asio::error_code &error) {
+            if (!error && id == self->id_) {
+                self->fail(DirectoryError::TimedOut, "no answer of the relay in time");
+            }
+        });
+        if (socket_.is_open()) {
+            send();
+            return;
+        }
+        socket_.async_connect(toTcpEndpoint(relay_), [self = shared_from_this()](const asio::error_code &error) {
+            if (error) {
+                self->fail(DirectoryError::Unreachable, error.message());
+                return;
+            }
+            asio::error_code ignored;
+            self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->send();
+        });
+    }
+
+    void close()
+    {
+        broken_ = true;
+        done_ = nullptr;
+        asio::error_code ignored;
+        timer_.cancel();
+        socket_.close(ignored);
+    }
+
+private:
+    void send()
+    {
+        asio::async_write(
+            socket_, asio::buffer(out_), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                if (error) {
+                    self->fail(DirectoryError::Unreachable, error.message());
+                } else {
+                    self->readLength();
+                }
+            });
+    }
+
+    void readLength()
+    {
+        asio::async_read(
+            socket_, asio::buffer(length_), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                if (error) {
+                    self->fail(DirectoryError::Unreachable, error.message());
+                    return;
+                }
+                const auto length = decodeRelayLength(self->length_);
+                if (!length) {
+                    self->fail(DirectoryError::Malformed, "answer of the relay is too long");
+                    return;
+                }
+                self->readAnswer(*length);
+            });
+    }
+
+    void readAnswer(std::size_t length)
+    {
+        in_.resize(length);
+        asio::async_read(
+            socket_, asio::buffer(in_), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                if (error) {
+                    self->fail(DirectoryError::Unreachable, error.message());
+                    return;
+                }
+                auto changes = decodeRelayAnswer(self->in_);
+                if (!changes) {
+                    self->fail(DirectoryError::Malformed, "answer of the relay can't be read");
+                    return;
+                }
+                self->timer_.cancel();
+                self->end({ .callId = self->id_, .result = std::move(*changes) });
+            });
+    }
+
+    void fail(DirectoryError error, std::string detail)
+    {
+        if (!done_) {
+            return;
+        }
+        const Done done = std::exchange(done_, nullptr);
+        close();
+        done({ .callId = id_, .result = DirectoryFailure { .error = error, .detail = std::move(detail) } });
+    }
+
+    void end(DirectoryAnswer answer)
+    {
+        if (const Done done = std::exchange(done_, nullptr)) {
+            done(std::move(answer));
+        }
+    }
+
+    Endpoint relay_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    bool broken_ = false;
+    std::uint64_t id_ = 0;
+    Done done_;
+    std::array<std::byte, relayLengthBytes> length_ {};
+    std::vector<std::byte> out_;
+    std::vector<std::byte> in_;
+};
+
+TcpRelayDirectory::TcpRelayDirectory(asio::io_context &context, const Endpoint &self)
+    : context_(context)
+    , self_(self)
+{ }
+
+TcpRelayDirectory::~TcpRelayDirectory()
+{
+    if (connection_) {
+        connection_->close();
+    }
+}
+
+void TcpRelayDirectory::call(const DirectoryCall &call, Done done)
+{
+    if (!connection_ || connection_->isBroken() || connection_->relay() != call.relay) {
+        if (connection_) {
+            connection_->close();
+        }
+        connection_ = std::make_shared<Connection>(context_, call.relay);
+    }
+    const FollowRequest request { .after = call.after, .wait = call.wait, .listening = self_ };
+    connection_->call(call.id, call.timeout, encodeRelayRequest(request), std::move(done));
+}
+
+} // namespace boragelug
--- /dev/null
+++ b/drivers/tcp_relay_listener.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "model/endpoint.h"
+#include "servers/metric_sink.h"
+#include "servers/relay_listener.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+
+namespace boragelug
+{
+
+/// Serves followers over TCP, one request at a time on each connection. Runs on the context's thread.
+class TcpRelayListener : public RelayListener
+{
+public:
+    /// Connections at the same time: the followers, and as many that are only told whom to ask.
+    static constexpr std::size_t maxConnections = 128;
+
+    /// Listens on @p local; port 0 lets the kernel choose. Throws asio::system_error if that fails. @p metrics must
+    /// outlive the listener.
+    TcpRelayListener(asio::io_context &context, const Endpoint &local, MetricSink &metrics);
+    ~TcpRelayListener() override;
+    TcpRelayListener(const TcpRelayListener &) = delete;
+    TcpRelayListener &operator=(const TcpRelayListener &) = delete;
+
+    void start(Callbacks callbacks) override;
+    void answer(FollowerId follower, const DirectoryChanges &changes) override;
+
+    Endpoint localEndpoint() const;
+
+private:
+    class Connection;
+
+    void accept();
+    void remove(FollowerId follower);
+
+    asio::ip::tcp::acceptor acceptor_;
+    MetricSink &metrics_;
+    Callbacks callbacks_;
+    std::uint64_t lastId_ = 0;
+    std::map<FollowerId, std::shared_ptr<Connection>> connections_;
+    /// Ends callbacks that outlive the listener.
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace boragelug
--- a/drivers/yaml_map.cpp
+++ b/drivers/yaml_map.cpp
@@ -225,14 +225,17 @@
     field = *parsed;
 }
 
-void YamlMap::endpoints(std::string_view key, std::vector<Endpoint> &field, std::size_t most, Presence presence)
+void YamlMap::endpoints(
+    std::string_view key, std::vector<Endpoint> &field, std::size_t least, std::size_t most, Presence presence)
 {
     const auto list = find(key, presence);
     if (!list) {
         return;
     }
-    if (!list->IsSequence() || list->size() == 0 || list->size() > most) {
-        fail(key, "must be a list of 1 to " + std::to_string(most) + " endpoints such as [10.0.0.1:8080]");
+    if (!list->IsSequence() || list->size() < least || list->size() > most) {
+        fail(key,
+             "must be a list of " + std::to_string(least) + " to " + std::to_string(most)
+                 + " endpoints such as [10.0.0.1:8080]");
         return;
     }
     std::vector<Endpoint> parsed;
--- a/drivers/yaml_map.h
+++ b/drivers/yaml_map.h
@@ -78,8 +78,9 @@
     /// Reads an endpoint "a.b.c.d:port" with a port over 0.
     void endpoint(std::string_view key, Endpoint &field, Presence presence);
 
-    /// Reads a list of 1 to @p most endpoints.
-    void endpoints(std::string_view key, std::vector<Endpoint> &field, std::size_t most, Presence presence);
+    /// Reads a list of @p least to @p most endpoints.
+    void endpoints(
+        std::string_view key, std::vector<Endpoint> &field, std::size_t least, std::size_t most, Presence presence);
 
     /// Reads a duration in [@p least, @p most].
     void duration(std::string_view key, Duration &field, Duration least, Duration most, Presence presence);
--- a/drivers/yaml_settings.cpp
+++ b/drivers/yaml_settings.cpp
@@ -39,7 +39,7 @@
         endpoints->endpoint("admin", settings.adminEndpoint, Presence::Required);
         endpoints->rejectUnknownKeys();
     }
-    root.endpoints("platform", settings.platformEndpoints, maxPlatformEndpoints, Presence::Required);
+    root.endpoints("platform", settings.platformEndpoints, 1, maxPlatformEndpoints, Presence::Required);
     root.endpoint("fabric", settings.fabricEndpoint, Presence::Required);
 }
 
--- a/drivers/yaml_tagged_settings.cpp
+++ b/drivers/yaml_tagged_settings.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t maxSettingsBytes = 64UL * 1024;
+constexpr std::size_t maxRelays = 16;
 
 TaggedSettings readSettings(YamlMap &root)
 {
@@ -25,8 +26,14 @@
         if (metrics != Endpoint {}) {
             settings.metricsEndpoint = metrics;
         }
+        Endpoint relay;
+        endpoints->endpoint("relay", relay, Presence::Optional);
+        if (relay != Endpoint {}) {
+            settings.relayEndpoint = relay;
+        }
         endpoints->rejectUnknownKeys();
     }
+    root.endpoints("relays", settings.relays, 0, maxRelays, Presence::Optional);
     root.endpoint("directory", settings.directoryEndpoint, Presence::Required);
     root.duration("stop_grace", settings.stopGrace, 1s, 1h, Presence::Optional);
     root.duration("change_bound", settings.changeBound, 1s, 1min, Presence::Optional);
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -101,16 +101,19 @@
 /// A call to make. The directory is only read and watched.
 struct DirectoryCall
 {
-    enum class Kind : std::uint8_t { List, Watch };
+    /// Follow asks another VM for what it read; List and Watch ask the directory.
+    enum class Kind : std::uint8_t { List, Watch, Follow };
 
     /// Returned with the answer; unique within one process.
     std::uint64_t id = 0;
     Kind kind = Kind::List;
     /// List: the last key of the previous page; empty for the first page.
     std::string afterKey;
-    /// Watch: changes after this revision are wanted.
+    /// Watch, Follow: changes after this revision are wanted.
     DirectoryRevision after;
-    /// Watch: how long the directory may wait for a change before it answers.
+    /// Follow: the VM to ask.
+    Endpoint relay;
+    /// Watch, Follow: how long an answer may wait for a change.
     Duration wait {};
     /// Watch: any replica may answer, whose records may be seconds old. Such an answer costs the directory little.
     bool mayBeStale = false;
@@ -128,11 +131,29 @@
     DirectoryRevision asOf;
 };
 
-/// Changes in the order in which they were made; empty when the wait is over.
+/// Changes; those of one record in the order in which they were made. Empty when the wait is over.
 struct DirectoryChanges
 {
     std::vector<DirectoryItem> items;
     DirectoryRevision asOf;
+    /// Follow: how long ago the answering VM was certainly up to date.
+    Duration age {};
+    /// Follow: how long ago an outage of the directory ended for that VM; nothing if that is long ago.
+    std::optional<Duration> sinceOutage = std::nullopt;
+    /// Follow: another VM to ask, as this one passes on to enough others.
+    std::optional<Endpoint> elsewhere = std::nullopt;
+};
+
+/// What one VM asks another for: all records that changed after a revision.
+struct FollowRequest
+{
+    DirectoryRevision after;
+    /// How long the answer may wait for a change.
+    Duration wait {};
+    /// Where the asking VM answers such requests itself.
+    Endpoint listening;
+
+    bool operator==(const FollowRequest &) const = default;
 };
 
 /// Why a call brought no records.
--- a/model/tagged_settings.h
+++ b/model/tagged_settings.h
@@ -27,6 +27,10 @@
     std::optional<Endpoint> metricsEndpoint;
     /// The directory that holds catalogue and upstreams (TCP).
     Endpoint directoryEndpoint;
+    /// Serves VMs that follow this one (TCP), and tells them apart.
+    std::optional<Endpoint> relayEndpoint;
+    /// VMs that read the directory for the others; empty if each reads for itself.
+    std::vector<Endpoint> relays;
     /// Time between the stop signal and the moment at which the process is killed.
     Duration stopGrace = std::chrono::seconds(6);
     /// A change of the directory has to be in force on every VM within this time.
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -100,6 +100,7 @@
     : settings_(settings)
     , mirror_(settings.mirror)
     , reader_(mirror_, settings.reader)
+    , relay_(mirror_, reader_, settings.relay)
     , router_(settings.routing)
     , waiting_(settings.waiting)
     , random_(settings.seed)
@@ -214,23 +215,36 @@
     }
 }
 
-std::optional<Duration> TaggedNode::viewAge(TimePoint now) const
-{
-    return lastAnswer_ ? std::optional(now - *lastAnswer_) : std::nullopt;
-}
-
 std::string TaggedNode::viewAgeText(TimePoint now) const
 {
-    return lastAnswer_ ? milliseconds(now - *lastAnswer_) : "none";
+    const auto age = viewAge(now);
+    return age ? milliseconds(*age) : "none";
 }
 
 std::vector<NodeEvent> TaggedNode::handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now)
 {
     std::vector<NodeEvent> events;
     const ReaderOutcome outcome = reader_.handleAnswer(answer, now, random_);
-    if (!std::holds_alternative<DirectoryFailure>(answer.result)) {
-        lastAnswer_ = now;
+    noteSources(outcome, now, events);
+    appendChanges(outcome.changes, events);
+    publish(now);
+    if (isReady() && !wasReady_) {
+        wasReady_ = true;
+        events.push_back({ .number = EventNumber::ProcessReady,
+                           .causeId = 0,
+                           .fields = { { "catalogue", std::to_string(view_->version.value) },
+                                       { "upstreams", std::to_string(view_->upstreams.size()) } } });
     }
+    return events;
+}
+
+void TaggedNode::handleFollower(FollowerId follower, const FollowRequest &request, TimePoint now)
+{
+    relay_.request(follower, request, now);
+}
+
+void TaggedNode::noteSources(const ReaderOutcome &outcome, TimePoint now, std::vector<NodeEvent> &events) const
+{
     if (outcome.failure) {
         events.push_back({ .number = outcome.lost ? EventNumber::PlatformUnreachable : EventNumber::DirectoryCallFailed,
                            .causeId = 0,
@@ -241,16 +255,19 @@
     if (outcome.regained) {
         events.push_back({ .number = EventNumber::PlatformReachable, .causeId = 0, .fields = {} });
     }
-    appendChanges(outcome.changes, events);
-    publish(now);
-    if (isReady() && !wasReady_) {
-        wasReady_ = true;
-        events.push_back({ .number = EventNumber::ProcessReady,
+    if (outcome.newRelay) {
+        events.push_back(
+            { .number = EventNumber::RelayFollowed,
+              .causeId = 0,
+              .fields = { { "relay", toString(*outcome.newRelay) }, { "view_age_ms", viewAgeText(now) } } });
+    }
+    if (outcome.lostRelay) {
+        events.push_back({ .number = EventNumber::RelayLost,
                            .causeId = 0,
-                           .fields = { { "catalogue", std::to_string(view_->version.value) },
-                                       { "upstreams", std::to_string(view_->upstreams.size()) } } });
+                           .fields = { { "relay", toString(*outcome.lostRelay) },
+                                       { "reason", outcome.lostRelayReason },
+                                       { "view_age_ms", viewAgeText(now) } } });
     }
-    return events;
 }
 
 void TaggedNode::appendChanges(const std::vector<MirrorChange> &changes, std::vector<NodeEvent> &events) const
@@ -301,6 +318,7 @@
                            .fields = { { "milliseconds", milliseconds(now - *lastTick_) } } });
     }
     lastTick_ = now;
+    reader_.setServes(relay_.followers() > 0);
     appendChanges(mirror_.tick(now), events);
     publish(now);
     for (const UpstreamBelief &belief : router_.tick(now)) {
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -9,12 +9,14 @@
 #include "routing/waiting_requests.h"
 #include "views/directory_mirror.h"
 #include "views/directory_reader.h"
+#include "views/directory_relay.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace boragelug
@@ -25,6 +27,7 @@
 {
     MirrorSettings mirror;
     ReaderSettings reader;
+    RelaySettings relay;
     TaggedRouterSettings routing;
     WaitingSettings waiting;
     /// After a longer gap between ticks the process acts on old state.
@@ -83,6 +86,23 @@
     /// When nextCall() is due; nothing while a call is in progress.
     std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
 
+    /// Replaces the VMs that read the directory for the others.
+    void setRelays(std::vector<Endpoint> relays) { reader_.setRelays(std::move(relays)); }
+
+    /// Another VM asks for what this one knows of the directory.
+    void handleFollower(FollowerId follower, const FollowRequest &request, TimePoint now);
+
+    /// The VM no longer waits for an answer.
+    void dropFollower(FollowerId follower) { relay_.drop(follower); }
+
+    /// Answers to other VMs that are due. To be asked after every directory answer, request and tick.
+    std::vector<RelayAnswer> takeRelayAnswers(TimePoint now) { return relay_.takeAnswers(now, random_); }
+
+    /// VMs that learn of the directory from this one.
+    std::size_t followers() const { return relay_.followers(); }
+    /// Whether this VM learns of the directory from another one.
+    bool isFollowing() const { return reader_.isFollowing(); }
+
     /// Checks of upstreams that are due. To be asked after every packet.
     std::vector<UpstreamCheck> takeChecks() { return router_.takeChecks(); }
 
@@ -111,7 +131,7 @@
     /// Whether the last answer of the directory is recent.
     bool isFresh(TimePoint now) const { return reader_.isFresh(now); }
     /// Time since the last answer of the directory; nothing before the first.
-    std::optional<Duration> viewAge(TimePoint now) const;
+    std::optional<Duration> viewAge(TimePoint now) const { return reader_.sinceAnswer(now); }
 
 private:
     void publish(TimePoint now);
@@ -123,12 +143,14 @@
                       TimePoint now,
                       std::vector<NodeEvent> &events);
     void addViewFields(FlowSampler &lines, TimePoint now, NodeEvent &event) const;
+    void noteSources(const ReaderOutcome &outcome, TimePoint now, std::vector<NodeEvent> &events) const;
     void appendChanges(const std::vector<MirrorChange> &changes, std::vector<NodeEvent> &events) const;
     std::string viewAgeText(TimePoint now) const;
 
     TaggedNodeSettings settings_;
     DirectoryMirror mirror_;
     DirectoryReader reader_;
+    DirectoryRelay relay_;
     TaggedRouter router_;
     WaitingRequests waiting_;
     std::uint64_t waitedRequests_ = 0;
@@ -138,7 +160,6 @@
     /// Lines of flows that something happened to have a budget of their own.
     FlowSampler problemLines_;
     bool wasReady_ = false;
-    std::optional<TimePoint> lastAnswer_;
     std::optional<TimePoint> lastTick_;
     std::optional<TimePoint> lastPacket_;
     std::optional<TimePoint> drainStart_;
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -3,6 +3,8 @@
 #include "drivers/http_platform.h"
 #include "drivers/prometheus_metrics.h"
 #include "drivers/tcp_reachability_probe.h"
+#include "drivers/tcp_relay_directory.h"
+#include "drivers/tcp_relay_listener.h"
 #include "drivers/yaml_settings.h"
 #include "drivers/yaml_tagged_settings.h"
 #include "platform/store_directory.h"
@@ -186,10 +188,18 @@
     UdpFlowFabric fabric(runtime.context(), settings->packetEndpoint, metrics);
     StoreDirectory directory(runtime.context(), settings->directoryEndpoint);
     TcpReachabilityProbe probe(runtime.context(), runtime.clock());
+    std::optional<TcpRelayDirectory> relays;
+    std::optional<TcpRelayListener> relayListener;
+    if (settings->relayEndpoint) {
+        relays.emplace(runtime.context(), *settings->relayEndpoint);
+        relayListener.emplace(runtime.context(), *settings->relayEndpoint, metrics);
+    }
     TaggedProcess process({ .runtime = runtime,
                             .fabric = fabric,
                             .probe = probe,
                             .directory = directory,
+                            .relays = relays ? &*relays : nullptr,
+                            .relayListener = relayListener ? &*relayListener : nullptr,
                             .metrics = metrics,
                             .events = events,
                             .log = log,
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -151,6 +151,8 @@
     for (const auto &[service, limit] : node_.router().admissionLimits()) {
         metrics_.set("boragelug_admission_limit", limit, { { "service", serviceName(service) } });
     }
+    metrics_.set("boragelug_followers", static_cast<double>(node_.followers()), {});
+    metrics_.set("boragelug_following", node_.isFollowing() ? 1 : 0, {});
     if (!node_.view()) {
         return;
     }
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -21,6 +21,10 @@
 constexpr int collectDivisor = 4;
 /// Part of the bound for changes in which possibly stale answers do.
 constexpr int staleDivisor = 2;
+/// Parts of the bound in which a relay that serves waits for changes and lets them collect: its knowledge is then at
+/// most a third of the bound old, and that of a VM that follows through another one half of it.
+constexpr int relayWatchDivisor = 4;
+constexpr int relayCollectDivisor = 12;
 /// Time after the collection in which all VMs have read of a new upstream.
 constexpr Duration settleMargin = std::chrono::seconds(1);
 
@@ -31,6 +35,15 @@
     out.mirror.lapseGrace = settings.lapseGrace;
     out.reader.collectTime = settings.changeBound / collectDivisor;
     out.reader.staleTime = settings.changeBound / staleDivisor;
+    // Three parts have to fit into the bound: a relay that lost the directory, the call in progress there, and reading
+    // for oneself.
+    out.reader.follow.maxAge = settings.changeBound / staleDivisor;
+    out.reader.follow.relayWatchWait = settings.changeBound / relayWatchDivisor;
+    out.reader.follow.relayCollectTime = settings.changeBound / relayCollectDivisor;
+    if (settings.relayEndpoint) {
+        out.reader.follow.relays = settings.relays;
+        out.reader.follow.self = *settings.relayEndpoint;
+    }
     out.routing.settleTime = out.reader.collectTime + settleMargin;
     // A record that comes back late is read at the latest with the next up-to-date answer.
     out.routing.endedAfterMiss = settings.lapseGrace;
@@ -83,6 +96,7 @@
     parts_.runtime.onSignal(SIGTERM, [this] { handleStopSignal(); });
     parts_.runtime.onSignal(SIGINT, [this] { handleStopSignal(); });
     parts_.runtime.onSignal(SIGHUP, [this] { reloadSettings(); });
+    listenToFollowers();
     callDirectory();
     parts_.fabric.start(
         [this](const FlowPacket &head, std::span<const std::byte> packet) { receivePacket(head, packet); });
@@ -133,10 +147,12 @@
 void TaggedProcess::callDirectory()
 {
     if (const auto call = node_.nextCall(now())) {
-        parts_.metrics.add("boragelug_directory_calls_total", 1, {});
+        const bool follows = call->kind == DirectoryCall::Kind::Follow;
+        parts_.metrics.add(follows ? "boragelug_relay_calls_total" : "boragelug_directory_calls_total", 1, {});
         const TimePoint startedAt = now();
         const Duration wait = call->wait;
-        parts_.directory.call(*call, [this, startedAt, wait](const DirectoryAnswer &answer) {
+        Directory &directory = follows ? *parts_.relays : parts_.directory;
+        directory.call(*call, [this, startedAt, wait](const DirectoryAnswer &answer) {
             if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
                 parts_.metrics.add("boragelug_directory_failures_total", 1, { { "reason", failure->detail } });
             } else if (wait == Duration::zero()) {
@@ -144,6 +160,7 @@
                 parts_.metrics.observe("boragelug_directory_read_seconds", seconds.count(), {});
             }
             record(node_.handleDirectoryAnswer(answer, now()));
+            answerFollowers();
             callDirectory();
         });
     }
@@ -164,9 +181,33 @@
     });
 }
 
+void TaggedProcess::listenToFollowers()
+{
+    if (parts_.relayListener == nullptr) {
+        return;
+    }
+    parts_.relayListener->start({ .onRequest =
+                                      [this](FollowerId follower, const FollowRequest &request) {
+                                          node_.handleFollower(follower, request, now());
+                                          answerFollowers();
+                                      },
+                                  .onGone = [this](FollowerId follower) { node_.dropFollower(follower); } });
+}
+
+void TaggedProcess::answerFollowers()
+{
+    if (parts_.relayListener == nullptr) {
+        return;
+    }
+    for (const RelayAnswer &answer : node_.takeRelayAnswers(now())) {
+        parts_.relayListener->answer(answer.follower, answer.changes);
+    }
+}
+
 void TaggedProcess::tick()
 {
     record(node_.tick(now()));
+    answerFollowers();
     packetEvents_.clear();
     releasePackets();
     record(std::move(packetEvents_));
@@ -203,15 +244,17 @@
     TaggedSettings changed = settings_;
     changed.logLevel = loaded->logLevel;
     changed.stopGrace = loaded->stopGrace;
+    changed.relays = loaded->relays;
     if (changed != *loaded) {
         parts_.events.record(EventNumber::SettingsRejected,
                              0,
-                             { { "reason", "only log_level and stop_grace may change in a running process" } });
+                             { { "reason", "only log_level, stop_grace and relays may change in a running process" } });
         return;
     }
     settings_ = changed;
     parts_.log.setLeast(static_cast<EventSeverity>(settings_.logLevel));
     node_.setDrainBound(settings_.stopGrace - stopMargin);
+    node_.setRelays(settings_.relayEndpoint ? settings_.relays : std::vector<Endpoint> {});
     parts_.events.record(EventNumber::SettingsReloaded, 0, {});
 }
 
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -11,6 +11,7 @@
 #include "servers/directory.h"
 #include "servers/flow_fabric.h"
 #include "servers/reachability_probe.h"
+#include "servers/relay_listener.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -30,6 +31,9 @@
     FlowFabric &fabric;
     ReachabilityProbe &probe;
     Directory &directory;
+    /// Asks other VMs; both null where each VM reads for itself.
+    Directory *relays = nullptr;
+    RelayListener *relayListener = nullptr;
     PrometheusMetrics &metrics;
     EventRecorder &events;
     BoostLogSink &log;
@@ -60,6 +64,8 @@
     void checkUpstreams();
     void callDirectory();
     void scheduleCall();
+    void listenToFollowers();
+    void answerFollowers();
     void tick();
     void record(std::vector<NodeEvent> events);
     void handleStopSignal();
--- /dev/null
+++ b/tests/drivers/relay_test.cpp
@@ -0,0 +1,189 @@
+#include "drivers/counting_metric_sink.h"
+#include "drivers/relay_codec.h"
+#include "drivers/tcp_relay_directory.h"
+#include "drivers/tcp_relay_listener.h"
+#include "loop_support.h"
+#include "random_bytes.h"
+
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <span>
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const Endpoint anyLocal { .address = { 0x7f000001 }, .port = { 0 } };
+
+DirectoryChanges sampleChanges()
+{
+    UpstreamRecord upstream;
+    upstream.id = UpstreamId { 0xfedcba9876543210 };
+    upstream.incarnation = Incarnation { 1'782'377'952'000 };
+    upstream.service = "ledger";
+    upstream.zone = "kgd-north";
+    upstream.address = { .address = { 0xc0a80001 }, .port = { 65'535 } };
+    upstream.slots = 3;
+    upstream.state = UpstreamState::Draining;
+    upstream.coldLeft = 1500ms;
+    CatalogueRecord catalogue;
+    catalogue.version = CatalogueVersion { 12 };
+    catalogue.flowIdleTimeout = 15s;
+    catalogue.entries = { { .name = EntryName { "board" },
+                            .address = { .address = { 0xc6120001 }, .port = { 443 } },
+                            .services = { { .service = "ledger", .weight = 90 },
+                                          { .service = "inspection", .weight = 10 } },
+                            .idempotent = true,
+                            .latencyObjective = 250ms,
+                            .timeout = 2500ms,
+                            .priority = 2 } };
+    DirectoryChanges changes;
+    changes.items = { { .key = "catalogue", .revision = { 7 }, .content = catalogue },
+                      { .key = "hosts/1", .revision = { 8 }, .content = upstream },
+                      { .key = "hosts/2", .revision = { 9 }, .content = RemovedRecord {} } };
+    changes.asOf = DirectoryRevision { 9 };
+    changes.age = 321ms;
+    changes.sinceOutage = 2s;
+    changes.elsewhere = anyLocal;
+    return changes;
+}
+
+std::span<const std::byte> withoutLength(const std::vector<std::byte> &message)
+{
+    return std::span(message).subspan(relayLengthBytes);
+}
+
+// Guards followers from a view that differs from the relay's.
+TEST(RelayCodec, KeepsAllFields)
+{
+    const DirectoryChanges changes = sampleChanges();
+    const auto bytes = encodeRelayAnswer(changes);
+    EXPECT_EQ(decodeRelayLength(std::span(bytes).first<relayLengthBytes>()), bytes.size() - relayLengthBytes);
+    const auto decoded = decodeRelayAnswer(withoutLength(bytes));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->items, changes.items);
+    EXPECT_EQ(decoded->asOf, changes.asOf);
+    EXPECT_EQ(decoded->age, changes.age);
+    EXPECT_EQ(decoded->sinceOutage, changes.sinceOutage);
+    EXPECT_EQ(decoded->elsewhere, changes.elsewhere);
+    const FollowRequest request { .after = { 8 }, .wait = 500ms, .listening = anyLocal };
+    EXPECT_EQ(decodeRelayRequest(withoutLength(encodeRelayRequest(request))), request);
+}
+
+// Guards a VM from messages that were cut, changed or made up: none may crash it or be taken half.
+TEST(RelayCodec, SurvivesAnyBytes)
+{
+    Random random(7);
+    const auto answer = encodeRelayAnswer(sampleChanges());
+    const std::vector<std::byte> body(withoutLength(answer).begin(), withoutLength(answer).end());
+    for (int i = 0; i < randomInputs; ++i) {
+        const auto bytes = i % 2 == 0 ? randomBytes(random, 200) : mutate(random, body);
+        const auto decoded = decodeRelayAnswer(bytes);
+        if (decoded) {
+            EXPECT_GE(decoded->age, Duration::zero());
+        }
+        decodeRelayRequest(bytes);
+    }
+}
+
+class RelayDriversTest : public ::testing::Test
+{
+protected:
+    RelayDriversTest()
+        : listener(context, anyLocal, metrics)
+        , directory(context, anyLocal)
+    {
+        listener.start({ .onRequest =
+                             [this](FollowerId follower, const FollowRequest &request) {
+                                 lastFollower = follower;
+                                 lastRequest = request;
+                                 if (answers) {
+                                     listener.answer(follower, sampleChanges());
+                                 }
+                             },
+                         .onGone = [this](FollowerId) { ++gone; } });
+    }
+
+    std::optional<DirectoryAnswer> follow(const Endpoint &relay, Duration timeout)
+    {
+        DirectoryCall call;
+        call.id = ++lastId;
+        call.kind = DirectoryCall::Kind::Follow;
+        call.after = DirectoryRevision { 5 };
+        call.relay = relay;
+        call.timeout = timeout;
+        std::optional<DirectoryAnswer> answer;
+        directory.call(call, [&](DirectoryAnswer got) { answer = std::move(got); });
+        EXPECT_FALSE(answer) << "answers from within call()";
+        EXPECT_TRUE(runUntil(context, [&] { return answer.has_value(); }));
+        return answer;
+    }
+
+    asio::io_context context;
+    CountingMetricSink metrics;
+    TcpRelayListener listener;
+    TcpRelayDirectory directory;
+    bool answers = true;
+    int gone = 0;
+    std::uint64_t lastId = 0;
+    std::optional<FollowerId> lastFollower;
+    std::optional<FollowRequest> lastRequest;
+};
+
+// Guards the whole way between two VMs, with one connection for several calls.
+TEST_F(RelayDriversTest, AnswersSeveralCallsOverOneConnection)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = follow(listener.localEndpoint(), 10s);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->callId, lastId);
+        ASSERT_TRUE(std::holds_alternative<DirectoryChanges>(answer->result));
+        EXPECT_EQ(std::get<DirectoryChanges>(answer->result).items, sampleChanges().items);
+    }
+    EXPECT_EQ(lastFollower, FollowerId { 1 });
+    EXPECT_EQ(lastRequest->after, DirectoryRevision { 5 });
+    EXPECT_EQ(gone, 0);
+}
+
+// Guards bounds on changes from a relay that was paused or cut off: the call ends in its time, and the next one works.
+TEST_F(RelayDriversTest, GivesUpOnASilentRelay)
+{
+    answers = false;
+    const auto silent = follow(listener.localEndpoint(), 50ms);
+    ASSERT_TRUE(silent && std::holds_alternative<DirectoryFailure>(silent->result));
+    EXPECT_EQ(std::get<DirectoryFailure>(silent->result).error, DirectoryError::TimedOut);
+    EXPECT_TRUE(runUntil(context, [&] { return gone == 1; }));
+    answers = true;
+    const auto next = follow(listener.localEndpoint(), 10s);
+    EXPECT_TRUE(next && std::holds_alternative<DirectoryChanges>(next->result));
+}
+
+// Guards the same for a relay whose process is gone.
+TEST_F(RelayDriversTest, FailsAtOnceWhereNothingListens)
+{
+    asio::ip::tcp::acceptor closed(context, { asio::ip::address_v4::loopback(), 0 });
+    const Endpoint nobody { .address = { 0x7f000001 }, .port = { closed.local_endpoint().port() } };
+    closed.close();
+    const auto answer = follow(nobody, 10s);
+    ASSERT_TRUE(answer && std::holds_alternative<DirectoryFailure>(answer->result));
+    EXPECT_EQ(std::get<DirectoryFailure>(answer->result).error, DirectoryError::Unreachable);
+}
+
+// Guards a relay's memory from a peer that sends something else.
+TEST_F(RelayDriversTest, ClosesConnectionsThatSendNoRequest)
+{
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::address_v4::loopback(), listener.localEndpoint().port.value });
+    const std::string text = "GET / HTTP/1.1\r\n\r\n";
+    asio::write(socket, asio::buffer(text));
+    EXPECT_TRUE(runUntil(context, [&] { return gone == 1; }));
+    EXPECT_FALSE(lastRequest);
+}
+
+} // namespace
+} // namespace boragelug
--- /dev/null
+++ b/tests/views/directory_relay_test.cpp
@@ -0,0 +1,364 @@
+#include "views/directory_relay.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const Endpoint firstRelay { .address = { 1 }, .port = { 80 } };
+const Endpoint secondRelay { .address = { 2 }, .port = { 80 } };
+const Endpoint plainVm { .address = { 9 }, .port = { 80 } };
+
+DirectoryItem host(std::uint64_t id, std::uint64_t revision, UpstreamState state = UpstreamState::Active)
+{
+    UpstreamRecord record;
+    record.id = UpstreamId { id };
+    record.incarnation = Incarnation { 1 };
+    record.service = "ledger";
+    record.zone = "kgd-north";
+    record.state = state;
+    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = record };
+}
+
+DirectoryItem removed(std::uint64_t id, std::uint64_t revision)
+{
+    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = RemovedRecord {} };
+}
+
+DirectoryItem catalogue(std::uint64_t version, std::uint64_t revision)
+{
+    CatalogueRecord record;
+    record.version = CatalogueVersion { version };
+    record.entries = { { .name = EntryName { "entry" },
+                         .address = { .address = { 100 }, .port = { 443 } },
+                         .services = { { .service = "ledger", .weight = 1 } } } };
+    return { .key = "catalogue", .revision = { revision }, .content = record };
+}
+
+/// One VM: reads, and passes on.
+struct Vm
+{
+    explicit Vm(const Endpoint &self, RelaySettings relaySettings = {}, MirrorSettings mirrorSettings = { "kgd-north" })
+        : mirror(std::move(mirrorSettings))
+        , reader(mirror, readerSettings(self))
+        , relay(mirror, reader, relaySettings)
+    { }
+
+    static ReaderSettings readerSettings(const Endpoint &self)
+    {
+        ReaderSettings settings;
+        settings.follow.relays = { firstRelay, secondRelay };
+        settings.follow.self = self;
+        return settings;
+    }
+
+    /// Gives @p result to the call that is due; its kind must be @p kind.
+    ReaderOutcome answer(DirectoryCall::Kind kind, decltype(DirectoryAnswer::result) result, TimePoint now)
+    {
+        const auto call = reader.nextCall(now);
+        EXPECT_TRUE(call);
+        if (!call) {
+            return {};
+        }
+        EXPECT_EQ(call->kind, kind);
+        return reader.handleAnswer({ .callId = call->id, .result = std::move(result) }, now, random);
+    }
+
+    void list(std::vector<DirectoryItem> items, std::uint64_t asOf, TimePoint now)
+    {
+        answer(DirectoryCall::Kind::List,
+               DirectoryPage { .items = std::move(items), .more = false, .lastKey = {}, .asOf = { asOf } },
+               now);
+    }
+
+    DirectoryMirror mirror;
+    DirectoryReader reader;
+    DirectoryRelay relay;
+    Random random { 1 };
+};
+
+DirectoryChanges changes(std::vector<DirectoryItem> items, std::uint64_t asOf, Duration age = 0ms)
+{
+    DirectoryChanges made;
+    made.items = std::move(items);
+    made.asOf = DirectoryRevision { asOf };
+    made.age = age;
+    return made;
+}
+
+class DirectoryFollowTest : public ::testing::Test
+{
+protected:
+    DirectoryFollowTest()
+        : vm(plainVm)
+    {
+        vm.list({ catalogue(1, 1), host(1, 2) }, 2, now);
+    }
+
+    std::size_t listedHosts()
+    {
+        std::size_t listed = 0;
+        for (const DirectoryUpstream &upstream : vm.mirror.publish()->upstreams) {
+            listed += upstream.listing == Listing::Listed ? 1 : 0;
+        }
+        return listed;
+    }
+
+    Vm vm;
+    TimePoint now { 100s };
+};
+
+// Guards the directory from calls of all VMs: one that knows a relay asks it.
+TEST_F(DirectoryFollowTest, LearnsFromARelay)
+{
+    const auto outcome = vm.answer(DirectoryCall::Kind::Follow, changes({ host(2, 3) }, 3), now);
+    EXPECT_EQ(outcome.newRelay, firstRelay);
+    EXPECT_EQ(listedHosts(), 2U);
+    EXPECT_TRUE(vm.reader.isFresh(now));
+    const auto next = vm.reader.nextCall(now);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->after, DirectoryRevision { 3 });
+}
+
+// Guards bounds on changes when a relay dies: the VM reads for itself at once, and later asks another relay.
+TEST_F(DirectoryFollowTest, ReadsForItselfWhenARelayFails)
+{
+    const auto outcome =
+        vm.answer(DirectoryCall::Kind::Follow, DirectoryFailure { DirectoryError::TimedOut, "silent" }, now);
+    EXPECT_EQ(outcome.lostRelay, firstRelay);
+    EXPECT_FALSE(outcome.failure);
+    vm.answer(DirectoryCall::Kind::Watch, changes({}, 2), now);
+    now += 4s;
+    const auto next = vm.reader.nextCall(now);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->kind, DirectoryCall::Kind::Follow);
+    EXPECT_EQ(next->relay, secondRelay);
+}
+
+// Guards bounds when a relay lives but lost the directory.
+TEST_F(DirectoryFollowTest, ReadsForItselfWhenARelayKnowsTooLittle)
+{
+    const Duration tooOld = FollowSettings {}.maxAge + 1ms;
+    EXPECT_EQ(vm.answer(DirectoryCall::Kind::Follow, changes({}, 2, tooOld), now).lostRelay, firstRelay);
+    EXPECT_EQ(vm.reader.nextCall(now)->kind, DirectoryCall::Kind::Watch);
+}
+
+// Guards against a chain of relays that makes old knowledge look new: its age counts from the first reader.
+TEST_F(DirectoryFollowTest, KnowsTheAgeOfWhatItWasTold)
+{
+    vm.answer(DirectoryCall::Kind::Follow, changes({}, 2, 1s), now);
+    EXPECT_EQ(vm.reader.age(now + 100ms), 100ms);
+    now += 2s;
+    vm.answer(DirectoryCall::Kind::Follow, changes({}, 2, 1s), now);
+    EXPECT_EQ(vm.reader.age(now), 1s);
+}
+
+// Guards against VMs that send each other round and round.
+TEST_F(DirectoryFollowTest, GivesUpAfterSomeHops)
+{
+    DirectoryChanges elsewhere;
+    elsewhere.elsewhere = Endpoint { .address = { 50 }, .port = { 80 } };
+    for (std::uint32_t i = 0; i < FollowSettings {}.maxHops; ++i) {
+        EXPECT_FALSE(vm.answer(DirectoryCall::Kind::Follow, elsewhere, now).lostRelay);
+    }
+    EXPECT_TRUE(vm.answer(DirectoryCall::Kind::Follow, elsewhere, now).lostRelay);
+    EXPECT_EQ(vm.reader.nextCall(now)->kind, DirectoryCall::Kind::Watch);
+}
+
+// Guards callers of a VM that starts while the directory is away: its peers tell it what they know.
+TEST_F(DirectoryFollowTest, StartsFromARelayWhenTheDirectoryIsAway)
+{
+    Vm started(plainVm);
+    started.answer(DirectoryCall::Kind::List, DirectoryFailure { DirectoryError::Unreachable, "refused" }, now);
+    now += 1s;
+    started.answer(DirectoryCall::Kind::Follow, changes({ catalogue(1, 1), host(1, 2) }, 2, 10s), now);
+    EXPECT_TRUE(started.reader.isComplete());
+    EXPECT_EQ(started.mirror.publish()->upstreams.size(), 1U);
+    // What it was told is too old to rest on.
+    EXPECT_FALSE(started.reader.isFresh(now));
+    EXPECT_EQ(started.reader.nextCall(now)->after, DirectoryRevision { 2 });
+}
+
+// Guards the first readers: a relay reads for itself, and only certainly recent answers while others rely on it.
+TEST_F(DirectoryFollowTest, RelaysReadForThemselves)
+{
+    Vm relay(firstRelay);
+    relay.list({ catalogue(1, 1) }, 1, now);
+    const auto cheap = relay.reader.nextCall(now);
+    ASSERT_TRUE(cheap);
+    EXPECT_EQ(cheap->kind, DirectoryCall::Kind::Watch);
+    EXPECT_TRUE(cheap->mayBeStale);
+    relay.reader.handleAnswer({ .callId = cheap->id, .result = changes({}, 1) }, now, relay.random);
+    relay.reader.setServes(true);
+    EXPECT_FALSE(relay.reader.nextCall(now)->mayBeStale);
+    EXPECT_EQ(relay.reader.furtherRelays(), std::vector { secondRelay });
+}
+
+class DirectoryRelayTest : public ::testing::Test
+{
+protected:
+    DirectoryRelayTest()
+        : vm(firstRelay, RelaySettings { .maxFollowers = 2 })
+    {
+        vm.reader.setServes(true);
+        vm.list({ catalogue(1, 1), host(1, 2) }, 2, now);
+    }
+
+    void ask(std::uint64_t follower, std::uint64_t after)
+    {
+        const Endpoint listening { .address = { static_cast<std::uint32_t>(1000 + follower) }, .port = { 80 } };
+        vm.relay.request(FollowerId { follower }, { .after = { after }, .wait = 500ms, .listening = listening }, now);
+    }
+
+    std::vector<RelayAnswer> answers() { return vm.relay.takeAnswers(now, vm.random); }
+
+    void watch(std::vector<DirectoryItem> items, std::uint64_t asOf)
+    {
+        now += 1s;
+        vm.answer(DirectoryCall::Kind::Watch, changes(std::move(items), asOf), now);
+    }
+
+    Vm vm;
+    TimePoint now { 100s };
+};
+
+// Guards the bound on changes: a waiting follower is told at once, also of removals.
+TEST_F(DirectoryRelayTest, TellsOfChangesAtOnce)
+{
+    ask(1, 2);
+    EXPECT_TRUE(answers().empty());
+    watch({ host(2, 3), removed(1, 4) }, 4);
+    ask(1, 2);
+    const auto told = answers();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front().changes.items.size(), 2U);
+    EXPECT_EQ(told.front().changes.asOf, DirectoryRevision { 4 });
+    EXPECT_EQ(told.front().changes.age, 0ms);
+}
+
+// Guards followers of a relay that reads no changes: an empty answer tells how old its knowledge is.
+TEST_F(DirectoryRelayTest, AnswersWhenTheWaitIsOver)
+{
+    ask(1, 2);
+    now += 499ms;
+    EXPECT_TRUE(answers().empty());
+    now += 1ms;
+    const auto told = answers();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_TRUE(told.front().changes.items.empty());
+    EXPECT_EQ(told.front().changes.age, 500ms);
+}
+
+// Guards a relay from the whole fleet: beyond its bound it names another relay, and the last relay one that follows it.
+TEST_F(DirectoryRelayTest, NamesOthersBeyondItsBound)
+{
+    ask(1, 0);
+    ask(2, 0);
+    EXPECT_EQ(answers().size(), 2U);
+    ask(3, 0);
+    EXPECT_EQ(answers().front().changes.elsewhere, secondRelay);
+    Vm last(secondRelay, RelaySettings { .maxFollowers = 1 });
+    last.list({ catalogue(1, 1) }, 1, now);
+    const Endpoint known { .address = { 1001 }, .port = { 80 } };
+    last.relay.request(FollowerId { 1 }, { .after = {}, .wait = 500ms, .listening = known }, now);
+    last.relay.takeAnswers(now, last.random);
+    last.relay.request(FollowerId { 2 }, { .after = {}, .wait = 500ms, .listening = plainVm }, now);
+    EXPECT_EQ(last.relay.takeAnswers(now, last.random).front().changes.elsewhere, known);
+}
+
+// Guards draining hosts and removals when the relay lost the directory's history: the listing shows that a record is
+// gone, and followers that know its last revision still learn of it.
+TEST_F(DirectoryRelayTest, TellsOfRemovalsThatAListingShowed)
+{
+    vm.answer(DirectoryCall::Kind::Watch, DirectoryFailure { DirectoryError::HistoryLost, "gone" }, now);
+    vm.list({ catalogue(1, 1) }, 9, now);
+    ask(1, 2);
+    const auto told = answers();
+    ASSERT_EQ(told.size(), 1U);
+    ASSERT_EQ(told.front().changes.items.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<RemovedRecord>(told.front().changes.items.front().content));
+    EXPECT_EQ(told.front().changes.items.front().revision, DirectoryRevision { 9 });
+}
+
+// Guards hosts whose records lapsed while the directory was away: followers that were never cut off have to know why.
+TEST_F(DirectoryRelayTest, TellsOfOutages)
+{
+    for (int i = 0; i < 2; ++i) {
+        now += 1s;
+        vm.answer(DirectoryCall::Kind::Watch, DirectoryFailure { DirectoryError::Unreachable, "refused" }, now);
+    }
+    watch({ removed(1, 3) }, 3);
+    ask(1, 2);
+    const auto told = answers();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front().changes.sinceOutage, 0ms);
+    Vm follower(plainVm);
+    follower.list({ catalogue(1, 1), host(1, 2) }, 2, now);
+    follower.answer(DirectoryCall::Kind::Follow, told.front().changes, now);
+    EXPECT_EQ(follower.mirror.publish()->upstreams.front().listing, Listing::Lapsed);
+}
+
+// Guards equality of views: followers through followers hold the same as a VM that reads for itself, after any changes.
+class DirectoryRelayFleetTest : public ::testing::TestWithParam<std::uint64_t>
+{ };
+
+TEST_P(DirectoryRelayFleetTest, FollowersHoldWhatTheDirectoryHolds)
+{
+    Random random(GetParam());
+    TimePoint now { 100s };
+    std::deque<std::unique_ptr<Vm>> chain;
+    chain.push_back(std::make_unique<Vm>(firstRelay));
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        chain.push_back(std::make_unique<Vm>(Endpoint { .address = { 20 + i }, .port = { 80 } }));
+    }
+    for (const auto &vm : chain) {
+        vm->list({ catalogue(1, 1) }, 1, now);
+    }
+    std::uint64_t revision = 1;
+    std::map<std::uint64_t, UpstreamState> hosts;
+    for (int step = 0; step < 300; ++step) {
+        now += 600ms;
+        std::vector<DirectoryItem> items;
+        for (std::uint64_t n = random.below(3); n > 0; --n) {
+            const std::uint64_t id = 1 + random.below(8);
+            if (random.below(3) == 0 && hosts.erase(id) > 0) {
+                items.push_back(removed(id, ++revision));
+            } else {
+                const auto state = random.below(2) == 0 ? UpstreamState::Active : UpstreamState::Draining;
+                hosts[id] = state;
+                items.push_back(host(id, ++revision, state));
+            }
+        }
+        chain.front()->answer(DirectoryCall::Kind::Watch, changes(items, revision), now);
+        for (std::size_t i = 1; i < chain.size(); ++i) {
+            Vm &above = *chain[i - 1];
+            const auto call = chain[i]->reader.nextCall(now);
+            ASSERT_TRUE(call && call->kind == DirectoryCall::Kind::Follow);
+            above.relay.request(FollowerId { i }, { .after = call->after, .wait = 0ms, .listening = plainVm }, now);
+            for (const RelayAnswer &told : above.relay.takeAnswers(now, random)) {
+                chain[i]->reader.handleAnswer({ .callId = call->id, .result = told.changes }, now, random);
+            }
+        }
+    }
+    for (const auto &vm : chain) {
+        std::map<std::uint64_t, UpstreamState> known;
+        for (const DirectoryUpstream &upstream : vm->mirror.publish()->upstreams) {
+            if (upstream.listing == Listing::Listed) {
+                known[upstream.upstream.id.value] = upstream.upstream.state;
+            }
+        }
+        EXPECT_EQ(known, hosts);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DirectoryRelayFleetTest, ::testing::Range<std::uint64_t>(1, 21));
+
+} // namespace
+} // namespace boragelug
--- a/tests/views/directory_test.cpp
+++ b/tests/views/directory_test.cpp
@@ -60,7 +60,7 @@
 
     void list(const DirectoryPage &listed)
     {
-        mirror.beginListing();
+        mirror.beginListing(listed.asOf);
         mirror.applyPage(listed, now);
         mirror.endListing(now);
     }
--- /dev/null
+++ b/thrift/relay.thrift
@@ -0,0 +1,72 @@
+/**
+ * What VMs that read the directory pass on to others. Serialized with the compact protocol; each message follows its
+ * length in four bytes, most significant first.
+ */
+namespace cpp boragelug.wire
+
+struct RelayEndpoint {
+  1: required i32 address
+  2: required i32 port
+}
+
+struct RelayRequest {
+  /** Everything after this revision is wanted. */
+  1: required i64 after
+  2: required i64 waitNanoseconds
+  /** Where the sender passes on what it knows. */
+  3: required RelayEndpoint listening
+}
+
+struct RelayUpstream {
+  1: required string key
+  2: required i64 revision
+  3: required i64 id
+  4: required i64 incarnation
+  5: required string serviceName
+  6: required string zoneName
+  7: required RelayEndpoint address
+  8: required i32 slots
+  9: required bool draining
+  10: required i64 coldNanoseconds
+}
+
+struct RelayRemoval {
+  1: required string key
+  2: required i64 revision
+}
+
+struct RelayShare {
+  1: required string serviceName
+  2: required i32 weight
+}
+
+struct RelayEntry {
+  1: required string name
+  2: required RelayEndpoint address
+  3: required list<RelayShare> services
+  4: required bool idempotent
+  5: required i64 objectiveNanoseconds
+  6: required i64 timeoutNanoseconds
+  7: required i32 priority
+}
+
+struct RelayCatalogue {
+  1: required string key
+  2: required i64 revision
+  3: required i64 version
+  4: required list<RelayEntry> entries
+  5: optional i64 flowIdleNanoseconds
+}
+
+struct RelayAnswer {
+  1: required i64 asOf
+  /** Time since the sender was certainly up to date. */
+  2: required i64 ageNanoseconds
+  /** Time since an outage of the directory ended, while it matters. */
+  3: optional i64 outageNanoseconds
+  4: required list<RelayUpstream> upstreams
+  5: required list<RelayRemoval> removals
+  6: optional RelayCatalogue catalogue
+  /** Whom to ask instead. */
+  7: optional RelayEndpoint elsewhere
+}
--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -37,6 +37,12 @@
     return zones_.try_emplace(name, ZoneId { next }).first->second;
 }
 
+void DirectoryMirror::beginListing(DirectoryRevision asOf)
+{
+    listed_.clear();
+    listedAsOf_ = asOf;
+}
+
 std::vector<MirrorChange> DirectoryMirror::applyPage(const DirectoryPage &page, TimePoint now)
 {
     std::vector<MirrorChange> changes;
@@ -53,7 +59,8 @@
     std::vector<std::pair<std::string, DirectoryRevision>> missing;
     for (const auto &[key, known] : upstreams_) {
         if (!listed_.contains(key) && known.status.listing == Listing::Listed) {
-            missing.emplace_back(key, known.revision);
+            // VMs that follow this one know the record's last revision already, so that its removal needs a later one.
+            missing.emplace_back(key, std::max(known.revision, listedAsOf_));
         }
     }
     for (const auto &[key, revision] : missing) {
@@ -102,6 +109,7 @@
         return;
     }
     catalogueRevision_ = item.revision;
+    catalogue_ = item;
     version_ = record.version;
     flowIdleTimeout_ = record.flowIdleTimeout.value_or(settings_.flowIdleTimeout);
     entries_.clear();
@@ -155,7 +163,7 @@
     } else if (found != upstreams_.end()) {
         retire(found->second, now);
     }
-    upstreams_[item.key] = { .revision = item.revision, .status = status };
+    upstreams_[item.key] = { .revision = item.revision, .status = status, .record = record };
     published_.reset();
     const bool draining = record.state != UpstreamState::Active;
     if (!same || (draining && !wasDraining)) {
@@ -200,6 +208,32 @@
     retired_.push_back(earlier);
 }
 
+std::vector<DirectoryItem> DirectoryMirror::changesSince(DirectoryRevision after, TimePoint now) const
+{
+    std::vector<DirectoryItem> items;
+    if (catalogue_ && catalogue_->revision > after) {
+        items.push_back(*catalogue_);
+    }
+    for (const auto &[key, known] : upstreams_) {
+        if (known.revision <= after) {
+            continue;
+        }
+        DirectoryItem item { .key = key, .revision = known.revision, .content = RemovedRecord {} };
+        if (known.status.listing == Listing::Listed) {
+            UpstreamRecord record = known.record;
+            record.coldLeft = std::max(known.status.coldUntil - now, Duration::zero());
+            item.content = record;
+        }
+        items.push_back(std::move(item));
+    }
+    for (const auto &[key, revision] : removedAt_) {
+        if (revision > after && !upstreams_.contains(key)) {
+            items.push_back({ .key = key, .revision = revision, .content = RemovedRecord {} });
+        }
+    }
+    return items;
+}
+
 std::vector<MirrorChange> DirectoryMirror::tick(TimePoint now)
 {
     std::vector<MirrorChange> changes;
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -58,18 +58,27 @@
     /// Applies one page of a listing. Records that no page of the listing named vanish with endListing().
     std::vector<MirrorChange> applyPage(const DirectoryPage &page, TimePoint now);
 
-    /// Starts a listing from its first page.
-    void beginListing() { listed_.clear(); }
+    /// Starts a listing from its first page, which is as of @p asOf.
+    void beginListing(DirectoryRevision asOf);
 
     /// Ends a listing: upstreams that it didn't name have vanished.
     std::vector<MirrorChange> endListing(TimePoint now);
 
+    /// All records are known, from a listing or from another VM; those that appear from now on are new.
+    void noteComplete() { firstListingDone_ = true; }
+
     /// Applies changes in their order.
     std::vector<MirrorChange> applyChanges(const DirectoryChanges &changes, TimePoint now);
 
     /// The directory was out of reach until @p now; records that vanish shortly after may have lapsed meanwhile.
     void noteOutage(TimePoint now) { outageEnd_ = now; }
 
+    /// When the directory was last out of reach.
+    const std::optional<TimePoint> &outageEnd() const { return outageEnd_; }
+
+    /// The latest state of all records that changed after @p after.
+    std::vector<DirectoryItem> changesSince(DirectoryRevision after, TimePoint now) const;
+
     /// Ends grace and retention periods.
     std::vector<MirrorChange> tick(TimePoint now);
 
@@ -84,6 +93,7 @@
     {
         DirectoryRevision revision;
         DirectoryUpstream status;
+        UpstreamRecord record;
     };
 
     void apply(const DirectoryItem &item, TimePoint now, std::vector<MirrorChange> &changes);
@@ -103,10 +113,12 @@
     std::vector<DirectoryUpstream> retired_;
     std::map<std::string, DirectoryRevision> removedAt_;
     std::map<std::string, DirectoryRevision> listed_;
+    DirectoryRevision listedAsOf_;
     std::map<std::string, ServiceId> services_;
     std::map<std::string, ZoneId> zones_;
     CatalogueVersion version_;
     DirectoryRevision catalogueRevision_;
+    std::optional<DirectoryItem> catalogue_;
     DirectoryRevision revision_;
     std::vector<DirectoryEntry> entries_;
     Duration flowIdleTimeout_;
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -1,6 +1,7 @@
 #include "views/directory_reader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace boragelug
@@ -16,17 +17,68 @@
 DirectoryReader::DirectoryReader(DirectoryMirror &mirror, const ReaderSettings &settings)
     : mirror_(mirror)
     , settings_(settings)
-{ }
+{
+    setRelays(settings.follow.relays);
+}
+
+void DirectoryReader::setRelays(std::vector<Endpoint> relays)
+{
+    const auto self = std::find(relays.begin(), relays.end(), settings_.follow.self);
+    isRelay_ = self != relays.end();
+    furtherRelays_.assign(isRelay_ ? std::next(self) : relays.end(), relays.end());
+    if (isRelay_) {
+        relays.erase(self);
+    }
+    settings_.follow.relays = std::move(relays);
+    relay_.reset();
+    nextRelay_ = 0;
+}
+
+Duration DirectoryReader::watchWait() const
+{
+    return serves_ ? settings_.follow.relayWatchWait : settings_.watchWait;
+}
 
 std::optional<DirectoryCall> DirectoryReader::nextCall(TimePoint now)
 {
     if (inProgress_ || now < nextAt_) {
         return std::nullopt;
     }
-    inProgress_ = canWatch_ ? makeWatch(now) : makeList(now);
+    if (mayFollow(now)) {
+        inProgress_ = makeFollow(now);
+    } else {
+        inProgress_ = canWatch_ ? makeWatch(now) : makeList(now);
+    }
     return inProgress_;
 }
 
+// A relay reads for itself, but asks the others when it knows nothing and the directory doesn't answer.
+bool DirectoryReader::mayFollow(TimePoint now) const
+{
+    if (settings_.follow.relays.empty() || now < followAt_) {
+        return false;
+    }
+    return listed_ ? canWatch_ && !isRelay_ : failures_ > 0;
+}
+
+DirectoryCall DirectoryReader::makeFollow(TimePoint now)
+{
+    startedAt_ = now;
+    if (!relay_) {
+        const auto &relays = settings_.follow.relays;
+        relay_ = relays[nextRelay_++ % relays.size()];
+        hops_ = 0;
+    }
+    DirectoryCall call;
+    call.id = ++lastId_;
+    call.kind = DirectoryCall::Kind::Follow;
+    call.relay = *relay_;
+    call.after = listed_ ? watchFrom_ : DirectoryRevision {};
+    call.wait = listed_ ? settings_.follow.wait : Duration::zero();
+    call.timeout = call.wait + settings_.follow.answerMargin;
+    return call;
+}
+
 std::optional<TimePoint> DirectoryReader::nextCallAt() const
 {
     return inProgress_ ? std::nullopt : std::optional(nextAt_);
@@ -51,8 +103,9 @@
     call.kind = DirectoryCall::Kind::Watch;
     call.after = watchFrom_;
     // A directory that just came back is asked for a short answer first, which tells that it really answers.
-    call.wait = reachable_ ? settings_.watchWait : Duration::zero();
-    if (reachable_ && confirmedAt_ && now - *confirmedAt_ < settings_.staleTime) {
+    call.wait = reachable_ ? watchWait() : Duration::zero();
+    // Others rely on what a relay reads.
+    if (!serves_ && reachable_ && confirmedAt_ && now - *confirmedAt_ < settings_.staleTime) {
         call.mayBeStale = true;
         call.wait = settings_.staleTime - (now - *confirmedAt_);
     }
@@ -66,8 +119,19 @@
     if (!inProgress_ || inProgress_->id != answer.callId) {
         return outcome;
     }
-    const bool mayBeStale = inProgress_->mayBeStale;
+    const DirectoryCall call = *inProgress_;
+    const bool mayBeStale = call.mayBeStale;
     inProgress_.reset();
+    if (call.kind == DirectoryCall::Kind::Follow) {
+        const auto *followed = std::get_if<DirectoryChanges>(&answer.result);
+        if (followed != nullptr) {
+            handleFollowed(call, *followed, now, random, outcome);
+        } else {
+            handleFollowFailure(call, std::get<DirectoryFailure>(answer.result).detail, now, random, outcome);
+        }
+        return outcome;
+    }
+    following_ = false;
     if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
         handleFailure(*failure, now, random, outcome);
         return outcome;
@@ -81,10 +145,57 @@
     const auto &changes = std::get<DirectoryChanges>(answer.result);
     outcome.changes = mirror_.applyChanges(changes, now);
     watchFrom_ = std::max(watchFrom_, changes.asOf);
-    nextAt_ = changes.items.empty() ? now : now + settings_.collectTime;
+    const Duration collectTime = serves_ ? settings_.follow.relayCollectTime : settings_.collectTime;
+    nextAt_ = changes.items.empty() ? now : now + collectTime;
     return outcome;
 }
 
+void DirectoryReader::handleFollowFailure(
+    const DirectoryCall &call, std::string reason, TimePoint now, Random &random, ReaderOutcome &outcome)
+{
+    relay_.reset();
+    following_ = false;
+    outcome.lostRelay = call.relay;
+    outcome.lostRelayReason = std::move(reason);
+    // Half of the pause is random, so that VMs that lost a relay together don't come back together.
+    const std::chrono::duration<double, std::nano> pause = settings_.follow.pauseAfterFailure;
+    followAt_ = now + std::chrono::duration_cast<Duration>(pause * (0.5 + random.unit()));
+    nextAt_ = now;
+}
+
+void DirectoryReader::handleFollowed(
+    const DirectoryCall &call, const DirectoryChanges &changes, TimePoint now, Random &random, ReaderOutcome &outcome)
+{
+    nextAt_ = now;
+    if (changes.elsewhere && ++hops_ <= settings_.follow.maxHops) {
+        relay_ = changes.elsewhere;
+        return;
+    }
+    const Duration maxAge = listed_ ? settings_.follow.maxAge : settings_.follow.maxFirstAge;
+    if (changes.elsewhere || changes.age > maxAge) {
+        const std::string reason = changes.elsewhere ? "names ever further VMs" : "its view is too old";
+        handleFollowFailure(call, reason, now, random, outcome);
+        return;
+    }
+    if (changes.sinceOutage) {
+        mirror_.noteOutage(now - *changes.sinceOutage);
+    }
+    outcome.changes = mirror_.applyChanges(changes, now);
+    if (!listed_ && mirror_.hasCatalogue()) {
+        listed_ = true;
+        canWatch_ = true;
+        mirror_.noteComplete();
+    }
+    watchFrom_ = std::max(watchFrom_, changes.asOf);
+    const TimePoint upToDateAt = now - changes.age;
+    lastAnswer_ = std::max(lastAnswer_.value_or(upToDateAt), upToDateAt);
+    confirmedAt_ = std::max(confirmedAt_.value_or(upToDateAt), upToDateAt);
+    if (!following_) {
+        outcome.newRelay = call.relay;
+    }
+    following_ = true;
+}
+
 void DirectoryReader::handleFailure(const DirectoryFailure &failure,
                                     TimePoint now,
                                     Random &random,
@@ -114,7 +225,7 @@
 
 void DirectoryReader::noteSuccess(TimePoint now, ReaderOutcome &outcome)
 {
-    const bool late = lastAnswer_ && now - startedAt_ > settings_.watchWait + settings_.answerMargin / 2;
+    const bool late = lastAnswer_ && now - startedAt_ > watchWait() + settings_.answerMargin / 2;
     if (failures_ > 0 || late) {
         mirror_.noteOutage(now);
     }
@@ -127,7 +238,7 @@
 void DirectoryReader::handlePage(const DirectoryPage &page, TimePoint now, ReaderOutcome &outcome)
 {
     if (firstPage_) {
-        mirror_.beginListing();
+        mirror_.beginListing(page.asOf);
         // Later pages may show later changes; watching from the first page's revision misses none.
         watchFrom_ = page.asOf;
         firstPage_ = false;
@@ -153,6 +264,16 @@
     confirmedAt_.reset();
 }
 
+std::optional<Duration> DirectoryReader::age(TimePoint now) const
+{
+    return confirmedAt_ ? std::optional(now - *confirmedAt_) : std::nullopt;
+}
+
+std::optional<Duration> DirectoryReader::sinceAnswer(TimePoint now) const
+{
+    return lastAnswer_ ? std::optional(now - *lastAnswer_) : std::nullopt;
+}
+
 bool DirectoryReader::isFresh(TimePoint now) const
 {
     return lastAnswer_ && now - *lastAnswer_ <= settings_.watchWait + settings_.answerMargin;
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -12,6 +12,32 @@
 namespace boragelug
 {
 
+/// How a VM learns from others what they read, so that calls to the directory don't grow with the number of VMs.
+struct FollowSettings
+{
+    /// VMs that read the directory for the others, in the order in which they are asked: the first one serves as many
+    /// as it can. A VM that is one of them reads for itself.
+    std::vector<Endpoint> relays;
+    /// Where this VM passes on what it knows.
+    Endpoint self;
+    /// How long an answer may wait for a change. It bounds what a dead relay costs, with the margin.
+    Duration wait = std::chrono::milliseconds(500);
+    Duration answerMargin = std::chrono::milliseconds(300);
+    /// A relay whose knowledge is older has lost the directory: the VM then reads for itself.
+    Duration maxAge = std::chrono::milliseconds(1500);
+    /// The same for a VM that knows nothing yet and can't reach the directory: flows are better served with old records
+    /// than not at all.
+    Duration maxFirstAge = std::chrono::seconds(30);
+    /// Pause before a relay is asked again after one failed.
+    Duration pauseAfterFailure = std::chrono::seconds(2);
+    /// Times that a relay may name another one instead of an answer.
+    std::uint32_t maxHops = 4;
+    /// Relays that serve watch with short waits, so that their knowledge is certainly recent while nothing changes: a
+    /// quarter and a twelfth of the bound for changes.
+    Duration relayWatchWait = std::chrono::milliseconds(750);
+    Duration relayCollectTime = std::chrono::milliseconds(250);
+};
+
 /// Times of a DirectoryReader.
 struct ReaderSettings
 {
@@ -28,6 +54,7 @@
     /// Pause after the first failure; doubles with each further one.
     Duration firstRetry = std::chrono::milliseconds(100);
     Duration maxRetry = std::chrono::milliseconds(800);
+    FollowSettings follow;
 };
 
 /// What one answer changed.
@@ -36,6 +63,11 @@
     std::vector<MirrorChange> changes;
     /// Why the call brought nothing, and how often in a row that happened.
     std::optional<DirectoryFailure> failure;
+    /// The relay that failed or knows too little; the directory itself isn't affected.
+    std::optional<Endpoint> lostRelay;
+    std::string lostRelayReason;
+    /// A relay answers for the first time since the VM read for itself.
+    std::optional<Endpoint> newRelay;
     std::uint32_t failures = 0;
     /// The directory was lost with this answer.
     bool lost = false;
@@ -54,6 +86,16 @@
     /// @p mirror must outlive the reader.
     DirectoryReader(DirectoryMirror &mirror, const ReaderSettings &settings);
 
+    /// Replaces the VMs that read the directory for the others.
+    void setRelays(std::vector<Endpoint> relays);
+
+    /// Relays after this VM in the list of relays, which take those that it can't serve; empty if it is none.
+    const std::vector<Endpoint> &furtherRelays() const { return furtherRelays_; }
+
+    /// Whether other VMs follow this one, so that it has to be certainly up to date. A relay that nobody follows reads
+    /// as any other VM.
+    void setServes(bool serves) { serves_ = serves; }
+
     /// The call to start now, if any.
     std::optional<DirectoryCall> nextCall(TimePoint now);
 
@@ -69,12 +111,34 @@
     /// Whether all records were listed once and a catalogue is among them.
     bool isComplete() const { return listed_ && mirror_.hasCatalogue(); }
 
+    /// Revision up to which the mirror certainly holds everything.
+    DirectoryRevision completeUpTo() const { return watchFrom_; }
+
+    /// Time since the mirror was certainly up to date; nothing if that isn't known.
+    std::optional<Duration> age(TimePoint now) const;
+
+    /// Time since what the last answer told; nothing before the first one, and after a pause of the process.
+    std::optional<Duration> sinceAnswer(TimePoint now) const;
+
+    /// Whether this VM follows others at the moment.
+    bool isFollowing() const { return following_; }
+
     /// Whether the last answer is recent enough that what the mirror doesn't hold may be taken as missing.
     bool isFresh(TimePoint now) const;
 
 private:
+    Duration watchWait() const;
     DirectoryCall makeList(TimePoint now);
     DirectoryCall makeWatch(TimePoint now);
+    DirectoryCall makeFollow(TimePoint now);
+    bool mayFollow(TimePoint now) const;
+    void handleFollowFailure(
+        const DirectoryCall &call, std::string reason, TimePoint now, Random &random, ReaderOutcome &outcome);
+    void handleFollowed(const DirectoryCall &call,
+                        const DirectoryChanges &changes,
+                        TimePoint now,
+                        Random &random,
+                        ReaderOutcome &outcome);
     void handleFailure(const DirectoryFailure &failure, TimePoint now, Random &random, ReaderOutcome &outcome);
     void handlePage(const DirectoryPage &page, TimePoint now, ReaderOutcome &outcome);
     void noteSuccess(TimePoint now, ReaderOutcome &outcome);
@@ -96,6 +160,16 @@
     std::optional<TimePoint> lastAnswer_;
     /// When the last answer that was certainly up to date came.
     std::optional<TimePoint> confirmedAt_;
+    /// This VM is one of the relays.
+    bool isRelay_ = false;
+    bool serves_ = false;
+    std::vector<Endpoint> furtherRelays_;
+    /// The relay that is asked, if one was chosen, and how often a relay named another one since then.
+    std::optional<Endpoint> relay_;
+    std::uint32_t hops_ = 0;
+    std::size_t nextRelay_ = 0;
+    TimePoint followAt_;
+    bool following_ = false;
 };
 
 } // namespace boragelug
--- /dev/null
+++ b/views/directory_relay.cpp
@@ -0,0 +1,81 @@
+#include "views/directory_relay.h"
+
+#include <iterator>
+
+namespace boragelug
+{
+
+DirectoryRelay::DirectoryRelay(const DirectoryMirror &mirror,
+                               const DirectoryReader &reader,
+                               const RelaySettings &settings)
+    : mirror_(mirror)
+    , reader_(reader)
+    , settings_(settings)
+{ }
+
+void DirectoryRelay::request(FollowerId follower, const FollowRequest &request, TimePoint now)
+{
+    waiting_[follower] = { .request = request, .until = now + request.wait, .seen = request.after };
+}
+
+bool DirectoryRelay::mayFollow(const Endpoint &listening) const
+{
+    return followers_.size() < settings_.maxFollowers || followers_.contains(listening);
+}
+
+Endpoint DirectoryRelay::randomFollower(Random &random) const
+{
+    return std::next(followers_.begin(), static_cast<std::ptrdiff_t>(random.below(followers_.size())))->first;
+}
+
+std::vector<RelayAnswer> DirectoryRelay::takeAnswers(TimePoint now, Random &random)
+{
+    std::vector<RelayAnswer> answers;
+    std::erase_if(followers_, [&](const auto &known) { return now - known.second >= settings_.followerMemory; });
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        auto &[follower, waiting] = *it;
+        const Endpoint &listening = waiting.request.listening;
+        if (!mayFollow(listening)) {
+            DirectoryChanges changes;
+            changes.elsewhere =
+                reader_.furtherRelays().empty() ? randomFollower(random) : reader_.furtherRelays().front();
+            answers.push_back({ .follower = follower, .changes = std::move(changes) });
+            it = waiting_.erase(it);
+            continue;
+        }
+        followers_[listening] = now;
+        const bool moved = reader_.completeUpTo() > waiting.seen;
+        DirectoryChanges changes;
+        if (moved) {
+            changes = makeAnswer(waiting.request, now);
+            waiting.seen = reader_.completeUpTo();
+        }
+        if (changes.items.empty() && now < waiting.until) {
+            ++it;
+            continue;
+        }
+        if (!moved) {
+            changes = makeAnswer(waiting.request, now);
+        }
+        answers.push_back({ .follower = follower, .changes = std::move(changes) });
+        it = waiting_.erase(it);
+    }
+    return answers;
+}
+
+DirectoryChanges DirectoryRelay::makeAnswer(const FollowRequest &request, TimePoint now) const
+{
+    DirectoryChanges changes;
+    if (reader_.isComplete()) {
+        changes.items = mirror_.changesSince(request.after, now);
+        changes.asOf = reader_.completeUpTo();
+    }
+    // A VM that doesn't know how old its view is says that it is as old as can be.
+    changes.age = reader_.age(now).value_or(Duration::max());
+    if (mirror_.outageEnd() && now - *mirror_.outageEnd() < settings_.outageMemory) {
+        changes.sinceOutage = now - *mirror_.outageEnd();
+    }
+    return changes;
+}
+
+} // namespace boragelug
