Start from a relay when the directory is silent

Change: the age of the view survives failed calls and pauses; a VM that knows nothing asks a relay after 250 ms without an answer of the store.

Ruled out: asking relays first at each start. After a loss of power of all VMs nobody listens there yet.

--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -186,6 +186,13 @@
     EXPECT_EQ(started.reader.nextCall(now)->after, DirectoryRevision { 2 });
 }
 
+// Guards callers of a VM that starts while the directory is silent: it doesn't wait for a whole time-out first.
+TEST(DirectoryFollowStart, AsksARelaySoonWhenTheDirectoryIsSilent)
+{
+    Vm started(plainVm);
+    EXPECT_EQ(started.reader.nextCall(TimePoint { 100s })->timeout, FollowSettings {}.firstListPatience);
+}
+
 // Guards the first readers: a relay reads for itself, and only certainly recent answers while others rely on it.
 TEST_F(DirectoryFollowTest, RelaysReadForThemselves)
 {
@@ -256,6 +263,18 @@
     EXPECT_EQ(told.front().changes.age, 500ms);
 }
 
+// Guards a VM that starts then from a relay that can't tell how old its view is, as its last call failed.
+TEST_F(DirectoryRelayTest, KnowsItsAgeWhenTheDirectoryIsAway)
+{
+    now += 2s;
+    vm.answer(DirectoryCall::Kind::Watch, DirectoryFailure { DirectoryError::Unreachable, "refused" }, now);
+    ask(1, 0);
+    const auto told = answers();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front().changes.items.size(), 2U);
+    EXPECT_EQ(told.front().changes.age, 2s);
+}
+
 // Guards a relay from the whole fleet: beyond its bound it names another relay, and the last relay one that follows it.
 TEST_F(DirectoryRelayTest, NamesOthersBeyondItsBound)
 {
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -91,7 +91,8 @@
     call.id = ++lastId_;
     call.kind = DirectoryCall::Kind::List;
     call.afterKey = afterKey_;
-    call.timeout = settings_.answerMargin;
+    const bool mayAskRelay = !listed_ && failures_ == 0 && !settings_.follow.relays.empty();
+    call.timeout = mayAskRelay ? settings_.follow.firstListPatience : settings_.answerMargin;
     return call;
 }
 
@@ -137,7 +138,10 @@
         return outcome;
     }
     noteSuccess(now, outcome);
-    confirmedAt_ = mayBeStale ? confirmedAt_ : std::optional(now);
+    if (!mayBeStale) {
+        confirmedAt_ = now;
+        upToDateAt_ = now;
+    }
     if (const auto *page = std::get_if<DirectoryPage>(&answer.result)) {
         handlePage(*page, now, outcome);
         return outcome;
@@ -187,9 +191,10 @@
         mirror_.noteComplete();
     }
     watchFrom_ = std::max(watchFrom_, changes.asOf);
-    const TimePoint upToDateAt = now - changes.age;
-    lastAnswer_ = std::max(lastAnswer_.value_or(upToDateAt), upToDateAt);
-    confirmedAt_ = std::max(confirmedAt_.value_or(upToDateAt), upToDateAt);
+    const TimePoint relayKnew = now - changes.age;
+    lastAnswer_ = std::max(lastAnswer_.value_or(relayKnew), relayKnew);
+    confirmedAt_ = std::max(confirmedAt_.value_or(relayKnew), relayKnew);
+    upToDateAt_ = std::max(upToDateAt_.value_or(relayKnew), relayKnew);
     if (!following_) {
         outcome.newRelay = call.relay;
     }
@@ -266,7 +271,7 @@
 
 std::optional<Duration> DirectoryReader::age(TimePoint now) const
 {
-    return confirmedAt_ ? std::optional(now - *confirmedAt_) : std::nullopt;
+    return upToDateAt_ ? std::optional(now - *upToDateAt_) : std::nullopt;
 }
 
 std::optional<Duration> DirectoryReader::sinceAnswer(TimePoint now) const
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -28,6 +28,9 @@
     /// The same for a VM that knows nothing yet and can't reach the directory: flows are better served with old records
     /// than not at all.
     Duration maxFirstAge = std::chrono::seconds(30);
+    /// How long a VM that knows nothing waits for the directory before it asks a relay for the first time: 60 times the
+    /// usual time of an answer.
+    Duration firstListPatience = std::chrono::milliseconds(250);
     /// Pause before a relay is asked again after one failed.
     Duration pauseAfterFailure = std::chrono::seconds(2);
     /// Times that a relay may name another one instead of an answer.
@@ -158,7 +161,9 @@
     std::uint32_t failures_ = 0;
     bool reachable_ = true;
     std::optional<TimePoint> lastAnswer_;
-    /// When the last answer that was certainly up to date came.
+    /// When the mirror was certainly up to date.
+    std::optional<TimePoint> upToDateAt_;
+    /// The same, unless a call failed or the process slept since then.
     std::optional<TimePoint> confirmedAt_;
     /// This VM is one of the relays.
     bool isRelay_ = false;
