--- a/drivers/event_text.cpp
+++ b/drivers/event_text.cpp
@@ -121,8 +121,101 @@
     return event;
 }
 
+/// Takes a value that appendValue() wrote; nothing if its quotes don't end.
+std::optional<std::string> takeValue(std::string_view &text)
+{
+    std::string value;
+    if (!takeChar(text, '"')) {
+        const auto end = std::min(text.find(' '), text.size());
+        value = text.substr(0, end);
+        text.remove_prefix(end);
+        return value;
+    }
+    while (!text.empty() && text.front() != '"') {
+        const bool escaped = takeChar(text, '\\');
+        unsigned byte = 0;
+        if (escaped && text.size() >= 3 && text.front() == 'x'
+            && std::from_chars(text.data() + 1, text.data() + 3, byte, 16).ptr == text.data() + 3) {
+            value += static_cast<char>(byte);
+            text.remove_prefix(3);
+        } else if (!text.empty()) {
+            value += text.front();
+            text.remove_prefix(1);
+        }
+    }
+    return takeChar(text, '"') ? std::optional(value) : std::nullopt;
+}
+
+template<class T>
+bool readNumber(std::string_view text, T &out)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+/// Takes over a pair of a log line; false if its value is wrong. @p known counts the pairs that every line has.
+bool readPair(const std::string &key, std::string value, Event &event, int &known)
+{
+    std::uint16_t number = 0;
+    if (key == "time") {
+        const auto time = parseTime(value);
+        event.time.wallMicroseconds = time.value_or(0);
+        ++known;
+        return time.has_value();
+    }
+    if (key == "event") {
+        ++known;
+        const bool read = readNumber(value, number);
+        event.number = static_cast<EventNumber>(number);
+        return read;
+    }
+    if (key == "vm" || key == "incarnation" || key == "sequence") {
+        ++known;
+        std::uint64_t &out = key == "vm" ? event.vm.value
+            : key == "incarnation"       ? event.incarnation.value
+                                         : event.sequence;
+        return readNumber(value, out);
+    }
+    if (key == "cause") {
+        const auto cause = parseCause(value);
+        event.causeId = cause.value_or(0);
+        return cause.has_value();
+    }
+    if (key != "severity" && key != "name") {
+        event.fields.emplace_back(key, std::move(value));
+    }
+    return true;
+}
+
 } // namespace
 
+Outcome<Event, std::string> eventFromLine(std::string_view text)
+{
+    using Result = Outcome<Event, std::string>;
+    constexpr int pairsOfEveryLine = 5;
+    const auto start = text.find("time=");
+    if (start == std::string_view::npos) {
+        return Result::failure("no event");
+    }
+    text.remove_prefix(start);
+    Event event;
+    int known = 0;
+    while (!text.empty()) {
+        const auto equals = text.find('=');
+        if (equals == std::string_view::npos) {
+            return Result::failure("no value");
+        }
+        const std::string key(text.substr(0, equals));
+        text.remove_prefix(equals + 1);
+        auto value = takeValue(text);
+        if (!value || !readPair(key, std::move(*value), event, known)) {
+            return Result::failure("wrong value of '" + key + "'");
+        }
+        takeChar(text, ' ');
+    }
+    return known == pairsOfEveryLine ? Result(std::move(event)) : Result::failure("a part of the line is missing");
+}
+
 std::string eventLine(const Event &event)
 {
     std::string line;
--- a/drivers/event_text.h
+++ b/drivers/event_text.h
@@ -15,6 +15,10 @@
 /// characters escaped. Thread-safe.
 std::string eventLine(const Event &event);
 
+/// Reads what eventLine() writes, also behind other text such as a collector's prefix; a reason if there is no such
+/// line. The counter of the hybrid time isn't in it; events of one VM are ordered by their sequence. Thread-safe.
+Outcome<Event, std::string> eventFromLine(std::string_view text);
+
 /// One JSON object of an event, without line end. Bytes that are no UTF-8 are replaced. Thread-safe.
 std::string eventToJson(const Event &event);
 
--- a/programs/boragelugctl/explain_command.cpp
+++ b/programs/boragelugctl/explain_command.cpp
@@ -1,6 +1,9 @@
 #include "drivers/admin_routes.h"
+#include "drivers/event_text.h"
 #include "programs/boragelugctl/commands.h"
+#include "programs/boragelugctl/event_log.h"
 #include "programs/boragelugctl/fleet_client.h"
+#include "routing/flow_tag.h"
 
 #include <sysexits.h>
 
@@ -15,6 +18,7 @@
     std::vector<OptionSpec> specs = fleetOptions();
     specs.push_back(
         { "flow", 'f', "FLOW", "PROTOCOL,CALLER,ENTRY such as udp,10.0.0.5:4000,10.1.0.1:80, or a flow key" });
+    specs.push_back({ "log", 'l', "FILE", "explain the flow from log files of all VMs instead, - for standard input" });
     specs.push_back({ "request", 'r', "ID", "a request id" });
     specs.push_back({ "help", 'h', "", "show this text" });
     return specs;
@@ -33,6 +37,26 @@
     return flow ? "/explain?flow=" + encodeQueryValue(*flow) : "/explain?request=" + encodeQueryValue(*request);
 }
 
+/// Explains a flow from the lines that all VMs wrote.
+int explainFromLogs(const ParsedOptions &options, const CommandStreams &streams)
+{
+    const auto query = parseFlowQuery(options.value("flow").value_or(""));
+    if (!query || options.has("vm") || options.has("vms")) {
+        throw UsageError("with --log, explain takes one --flow and no VMs");
+    }
+    const std::uint64_t cause = query->key ? query->key->value : flowCause(query->caller, query->entry);
+    const FlowExplanation explanation = explainFlow(readEventLogs(options.all("log"), {}).events, cause);
+    if (explanation.events.empty()) {
+        streams.err << "the logs have no line of that flow\n";
+        return EX_UNAVAILABLE;
+    }
+    for (const Event &event : explanation.events) {
+        streams.out << eventLine(event) << '\n';
+    }
+    streams.out << "cause: " << explanation.cause << '\n';
+    return EX_OK;
+}
+
 } // namespace
 
 int runExplain(const CommandWords &words, const CommandStreams &streams)
@@ -40,12 +64,15 @@
     const auto specs = explainOptions();
     const ParsedOptions options = parseOptions(words, specs);
     if (options.has("help")) {
-        streams.out << "Usage: boragelugctl explain (-v VM | -V FILE)... (-f FLOW | -r ID)\n"
+        streams.out << "Usage: boragelugctl explain (-v VM | -V FILE | -l FILE)... (-f FLOW | -r ID)\n"
                        "Tells for each VM that knows the flow or request which view it used, which upstreams it\n"
                        "considered, what happened, and for a refusal what to change.\n\n"
                     << optionHelp(specs);
         return EX_OK;
     }
+    if (options.has("log")) {
+        return explainFromLogs(options, streams);
+    }
     const std::string target = explainTarget(options);
     std::vector<FleetQuery> queries;
     for (const Endpoint &vm : fleetFrom(options)) {
--- a/programs/boragelugctl/timeline_command.cpp
+++ b/programs/boragelugctl/timeline_command.cpp
@@ -2,6 +2,7 @@
 #include "core/event_filter.h"
 #include "drivers/event_text.h"
 #include "programs/boragelugctl/commands.h"
+#include "programs/boragelugctl/event_log.h"
 #include "programs/boragelugctl/fleet_client.h"
 #include "programs/boragelugctl/timeline.h"
 
@@ -27,6 +28,7 @@
 {
     std::vector<OptionSpec> specs = fleetOptions();
     const std::vector<OptionSpec> own = {
+        { "log", 'l', "FILE", "read the events from a log file instead, - for standard input; may be repeated" },
         { "cause", 'c', "HEX", "only events of this cause" },
         { "flow", 'f', "KEY", "only events of this flow" },
         { "request", 'r', "ID", "only events of this request" },
@@ -142,6 +144,19 @@
     return answered;
 }
 
+/// Reads log files; says how many of their lines aren't events.
+std::vector<Event> readLogs(const ParsedOptions &options, std::ostream &err)
+{
+    if (options.has("vm") || options.has("vms")) {
+        throw UsageError("timeline reads either VMs or logs");
+    }
+    EventLog log = readEventLogs(options.all("log"), filterFrom(options));
+    if (log.otherLines > 0) {
+        err << log.otherLines << " lines are no events\n";
+    }
+    return std::move(log.events);
+}
+
 } // namespace
 
 int runTimeline(const CommandWords &words, const CommandStreams &streams)
@@ -149,7 +164,7 @@
     const auto specs = timelineOptions();
     const ParsedOptions options = parseOptions(words, specs);
     if (options.has("help")) {
-        streams.out << "Usage: boragelugctl timeline (-v VM | -V FILE)... [OPTION]...\n"
+        streams.out << "Usage: boragelugctl timeline (-v VM | -V FILE | -l FILE)... [OPTION]...\n"
                        "Merges the events of VMs by hybrid logical time. '~' marks events whose order relative to an\n"
                        "earlier event of another VM is only probable, because both lie within the clock error.\n\n"
                     << optionHelp(specs);
@@ -158,20 +173,27 @@
     if (!options.operands.empty()) {
         throw UsageError("timeline takes options only");
     }
-    const auto vms = fleetFrom(options);
     const auto clockError = parseDuration(options.value("clock-error").value_or("10ms"));
     if (!clockError) {
         throw UsageError("--clock-error must be a time such as 10ms");
     }
+    const auto print = [&](std::vector<Event> events) {
+        for (const TimelineItem &item : mergeTimeline(std::move(events), *clockError)) {
+            printItem(item, options.has("json"), streams.out);
+        }
+    };
+    if (options.has("log")) {
+        print(readLogs(options, streams.err));
+        return EX_OK;
+    }
+    const auto vms = fleetFrom(options);
     auto results = collect(vms, eventsTarget(options), timeoutFrom(options));
     const std::size_t answered = reportGaps(results, streams.err);
     std::vector<Event> events;
     for (VmEvents &result : results) {
         std::move(result.events.begin(), result.events.end(), std::back_inserter(events));
     }
-    for (const TimelineItem &item : mergeTimeline(std::move(events), *clockError)) {
-        printItem(item, options.has("json"), streams.out);
-    }
+    print(std::move(events));
     return fleetExitCode(vms.size(), answered);
 }
 
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -1,6 +1,7 @@
 #include "programs/tagged_admin.h"
 
 #include "core/hash.h"
+#include "routing/flow_tag.h"
 
 #include <limits>
 #include <map>
--- a/routing/flow_tag.cpp
+++ b/routing/flow_tag.cpp
@@ -11,4 +11,10 @@
     return FlowTag { folded == 0 ? 1 : folded };
 }
 
+std::uint64_t flowCause(const Endpoint &caller, const Endpoint &entry)
+{
+    return combineHash(combineHash(caller.address.value, caller.port.value),
+                       combineHash(entry.address.value, entry.port.value));
+}
+
 } // namespace boragelug
--- a/routing/flow_tag.h
+++ b/routing/flow_tag.h
@@ -3,6 +3,8 @@
 #include "core/ids.h"
 #include "model/flow_packet.h"
 
+#include <cstdint>
+
 namespace boragelug
 {
 
@@ -10,4 +12,7 @@
 /// tag. Thread-safe.
 FlowTag flowTagOf(UpstreamId upstream, Incarnation incarnation);
 
+/// Identifies a flow in events: a hash of both ends, the same on every VM. Thread-safe.
+std::uint64_t flowCause(const Endpoint &caller, const Endpoint &entry);
+
 } // namespace boragelug
--- a/tests/programs/timeline_test.cpp
+++ b/tests/programs/timeline_test.cpp
@@ -1,11 +1,15 @@
 #include "programs/boragelugctl/timeline.h"
 
+#include "programs/boragelugctl/event_log.h"
+
 #include "core/event_filter.h"
 #include "core/random.h"
 #include "drivers/event_text.h"
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace boragelug
 {
 namespace
@@ -91,5 +95,49 @@
     }
 }
 
+// Guards engineers who have only log files: each line is read back as the event that it tells of, whatever its fields
+// hold.
+TEST(EventLines, AreReadAsTheyWereWritten)
+{
+    Random random(5);
+    for (int round = 0; round < 500; ++round) {
+        Event event = makeEvent(1 + random.below(1000), random.below(1000), 1'782'377'952'000'000 + random.below(1000));
+        event.number = EventNumber::FlowRefused;
+        event.causeId = random.below(2) == 0 ? 0 : 1 + random.below(1000);
+        std::string value;
+        for (std::uint64_t i = random.below(12); i > 0; --i) {
+            value += static_cast<char>(1 + random.below(126));
+        }
+        event.fields = { { "caller", "10.0.0.1:4000" }, { "reason", value } };
+        const auto read = eventFromLine("42.5 vm-1 " + eventLine(event));
+        ASSERT_TRUE(read) << read.lastReason();
+        EXPECT_EQ(eventLine(*read), eventLine(event));
+    }
+}
+
+// Guards against lines of other programs and lines that were cut.
+TEST(EventLines, RejectsOtherText)
+{
+    EXPECT_FALSE(eventFromLine("Starting the service"));
+    EXPECT_FALSE(eventFromLine("time=2026-12-04T05:22:56Z severity=info event=300"));
+    EXPECT_FALSE(eventFromLine("time=yesterday severity=info event=300 name=x vm=1 incarnation=1 sequence=1"));
+    EXPECT_FALSE(eventFromLine("time=2026-12-04T05:22:56Z event=300 vm=1 incarnation=1 sequence=1 reason=\"cut"));
+}
+
+// Guards the filter of log files: the options mean the same as for live VMs.
+TEST(EventLines, AreFiltered)
+{
+    Event first = makeEvent(1, 1, 1'782'377'952'000'000);
+    first.causeId = 7;
+    const Event second = makeEvent(2, 1, 1'782'377'953'000'000);
+    std::istringstream in(eventLine(first) + "\nno event\n" + eventLine(second) + "\n");
+    EventFilter filter;
+    filter.causeId = 7;
+    const EventLog log = readEventLog(in, filter);
+    ASSERT_EQ(log.events.size(), 1U);
+    EXPECT_EQ(log.events.front().vm, VmId { 1 });
+    EXPECT_EQ(log.otherLines, 1U);
+}
+
 } // namespace
 } // namespace boragelug
