--- a/drivers/event_text.cpp
+++ b/drivers/event_text.cpp
@@ -154,7 +154,7 @@
 }
 
 /// Takes over a pair of a log line; false if its value is wrong. @p known counts the pairs that every line has.
-bool readPair(const std::string &key, std::string value, Event &event, int &known)
+bool readPair(const std::string &key, const std::string &value, Event &event, int &known)
 {
     std::uint16_t number = 0;
     if (key == "time") {
@@ -182,7 +182,7 @@
         return cause.has_value();
     }
     if (key != "severity" && key != "name") {
-        event.fields.emplace_back(key, std::move(value));
+        event.fields.emplace_back(key, value);
     }
     return true;
 }
@@ -207,8 +207,8 @@
         }
         const std::string key(text.substr(0, equals));
         text.remove_prefix(equals + 1);
-        auto value = takeValue(text);
-        if (!value || !readPair(key, std::move(*value), event, known)) {
+        const auto value = takeValue(text);
+        if (!value || !readPair(key, *value, event, known)) {
             return Result::failure("wrong value of '" + key + "'");
         }
         takeChar(text, ' ');
--- /dev/null
+++ b/routing/tagged_admission.cpp
@@ -0,0 +1,111 @@
+#include "routing/sequence_number.h"
+#include "routing/tagged_router.h"
+
+namespace boragelug
+{
+
+// Data of a flow that waits for an answer belongs to a request that went on already.
+std::optional<KeepPacket>
+TaggedRouter::keepIfCrowded(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now)
+{
+    if (packet.dataBytes == 0) {
+        return std::nullopt;
+    }
+    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+    const bool known = flow != flows_.end();
+    const bool begins = !known
+        || (!flow->second.busy && flow->second.phase != FlowPhase::Ended
+            && isAfter(packet.sequence + packet.dataBytes, flow->second.nextSequence));
+    if (!begins) {
+        return std::nullopt;
+    }
+    const WaitingFacts facts = waitingFacts(packet, entry, service, !known, now);
+    return hasRoom(service, now >= facts.lateAt, now) ? std::nullopt : std::optional(keep(facts));
+}
+
+KeepPacket TaggedRouter::keep(const WaitingFacts &facts)
+{
+    const ServiceAdmission &state = admission(facts.service);
+    return { .facts = facts, .inProgress = state.inProgress(), .limit = state.limit(), .meanShare = state.meanShare() };
+}
+
+Duration TaggedRouter::sinceFirstSyn(const FlowPacket &syn) const
+{
+    if (syn.synCopies == 0) {
+        return Duration::zero();
+    }
+    return syn.synCopies == 1 ? settings_.admission.firstCopy : settings_.admission.secondCopy;
+}
+
+WaitingFacts TaggedRouter::waitingFacts(
+    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint now) const
+{
+    const AdmissionSettings &settings = settings_.admission;
+    WaitingFacts facts { .service = service, .sentAt = now, .lateAt = {}, .expiresAt = {}, .priority = entry.priority };
+    if (packet.syn) {
+        facts.sentAt -= sinceFirstSyn(packet);
+    } else if (unknownFlow) {
+        // Most likely a copy: the first packet was lost, or went to a VM that is gone.
+        facts.sentAt -= settings.firstCopy;
+    }
+    facts.lateAt = facts.sentAt
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(entry.latencyObjective)
+                                               * settings.lateShare);
+    if (packet.syn) {
+        facts.expiresAt = facts.sentAt + settings.openingTimeout;
+        return facts;
+    }
+    const Duration timeout = entry.timeout > Duration::zero() ? entry.timeout : settings.defaultTimeout;
+    // What is left after that is needed to serve it.
+    facts.expiresAt = facts.sentAt + timeout - entry.latencyObjective;
+    return facts;
+}
+
+bool TaggedRouter::hasRoom(ServiceId service, bool late, TimePoint now)
+{
+    return admission(service).hasRoom(late, now);
+}
+
+ServiceAdmission &TaggedRouter::admission(ServiceId service)
+{
+    const auto found = admissions_.find(service);
+    if (found != admissions_.end()) {
+        return found->second;
+    }
+    return admissions_.try_emplace(service, settings_.admission, localSlots(service)).first->second;
+}
+
+// A VM doesn't know how many others there are. Those of its zone share the zone's hosts, so that all of them together
+// start with a small multiple of the slots; answers show within a few objectives whether that is too much.
+double TaggedRouter::localSlots(ServiceId service) const
+{
+    double local = 0;
+    double all = 0;
+    const auto members = placeable_.find(service);
+    if (members == placeable_.end()) {
+        return 0;
+    }
+    for (const auto &host : members->second) {
+        all += host->status.slots;
+        local += host->status.upstream.zone == view_->selfZone ? host->status.slots : 0;
+    }
+    return local > 0 ? local : all;
+}
+
+ResetFlow TaggedRouter::refuseCrowded()
+{
+    ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::Crowded));
+    return ResetFlow { .reason = TaggedRefusal::Crowded, .upstream = {} };
+}
+
+std::vector<std::pair<ServiceId, double>> TaggedRouter::admissionLimits() const
+{
+    std::vector<std::pair<ServiceId, double>> limits;
+    limits.reserve(admissions_.size());
+    for (const auto &[service, admission] : admissions_) {
+        limits.emplace_back(service, admission.limit());
+    }
+    return limits;
+}
+
+} // namespace boragelug
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -12,12 +12,6 @@
 
 constexpr Duration sweepInterval = std::chrono::milliseconds(500);
 
-/// Whether @p left comes after @p right on the circle of sequence numbers.
-bool isAfter(std::uint32_t left, std::uint32_t right)
-{
-    return static_cast<std::int32_t>(left - right) > 0;
-}
-
 bool serves(const DirectoryEntry &entry, ServiceId service)
 {
     return std::any_of(
@@ -146,7 +140,7 @@
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
     if (mayWait) {
-        if (const auto kept = keepData(packet, *entry, host->status.upstream.service, now)) {
+        if (const auto kept = keepIfCrowded(packet, *entry, host->status.upstream.service, now)) {
             return *kept;
         }
     }
@@ -192,110 +186,6 @@
     return place(packet, entry, PlacementReason::OtherAfterNoAnswer, viewIsFresh, now);
 }
 
-// Data of a flow that waits for an answer belongs to a request that went on already.
-std::optional<KeepPacket>
-TaggedRouter::keepData(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now)
-{
-    if (packet.dataBytes == 0) {
-        return std::nullopt;
-    }
-    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
-    const bool known = flow != flows_.end();
-    const bool begins = !known
-        || (!flow->second.busy && flow->second.phase != FlowPhase::Ended
-            && isAfter(packet.sequence + packet.dataBytes, flow->second.nextSequence));
-    if (!begins) {
-        return std::nullopt;
-    }
-    const WaitingFacts facts = waitingFacts(packet, entry, service, !known, now);
-    return hasRoom(service, now >= facts.lateAt, now) ? std::nullopt : std::optional(keep(facts));
-}
-
-KeepPacket TaggedRouter::keep(const WaitingFacts &facts)
-{
-    const ServiceAdmission &state = admission(facts.service);
-    return { .facts = facts, .inProgress = state.inProgress(), .limit = state.limit(), .meanShare = state.meanShare() };
-}
-
-Duration TaggedRouter::sinceFirstSyn(const FlowPacket &syn) const
-{
-    if (syn.synCopies == 0) {
-        return Duration::zero();
-    }
-    return syn.synCopies == 1 ? settings_.admission.firstCopy : settings_.admission.secondCopy;
-}
-
-WaitingFacts TaggedRouter::waitingFacts(
-    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint now) const
-{
-    const AdmissionSettings &settings = settings_.admission;
-    WaitingFacts facts { .service = service, .sentAt = now, .lateAt = {}, .expiresAt = {}, .priority = entry.priority };
-    if (packet.syn) {
-        facts.sentAt -= sinceFirstSyn(packet);
-    } else if (unknownFlow) {
-        // Most likely a copy: the first packet was lost, or went to a VM that is gone.
-        facts.sentAt -= settings.firstCopy;
-    }
-    facts.lateAt = facts.sentAt
-        + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(entry.latencyObjective)
-                                               * settings.lateShare);
-    if (packet.syn) {
-        facts.expiresAt = facts.sentAt + settings.openingTimeout;
-        return facts;
-    }
-    const Duration timeout = entry.timeout > Duration::zero() ? entry.timeout : settings.defaultTimeout;
-    // What is left after that is needed to serve it.
-    facts.expiresAt = facts.sentAt + timeout - entry.latencyObjective;
-    return facts;
-}
-
-bool TaggedRouter::hasRoom(ServiceId service, bool late, TimePoint now)
-{
-    return admission(service).hasRoom(late, now);
-}
-
-ServiceAdmission &TaggedRouter::admission(ServiceId service)
-{
-    const auto found = admissions_.find(service);
-    if (found != admissions_.end()) {
-        return found->second;
-    }
-    return admissions_.try_emplace(service, settings_.admission, localSlots(service)).first->second;
-}
-
-// A VM doesn't know how many others there are. Those of its zone share the zone's hosts, so that all of them together
-// start with a small multiple of the slots; answers show within a few objectives whether that is too much.
-double TaggedRouter::localSlots(ServiceId service) const
-{
-    double local = 0;
-    double all = 0;
-    const auto members = placeable_.find(service);
-    if (members == placeable_.end()) {
-        return 0;
-    }
-    for (const auto &host : members->second) {
-        all += host->status.slots;
-        local += host->status.upstream.zone == view_->selfZone ? host->status.slots : 0;
-    }
-    return local > 0 ? local : all;
-}
-
-ResetFlow TaggedRouter::refuseCrowded()
-{
-    ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::Crowded));
-    return ResetFlow { .reason = TaggedRefusal::Crowded, .upstream = {} };
-}
-
-std::vector<std::pair<ServiceId, double>> TaggedRouter::admissionLimits() const
-{
-    std::vector<std::pair<ServiceId, double>> limits;
-    limits.reserve(admissions_.size());
-    for (const auto &[service, admission] : admissions_) {
-        limits.emplace_back(service, admission.limit());
-    }
-    return limits;
-}
-
 PlacementCandidate TaggedRouter::candidateFacts(const Host &host, TimePoint now) const
 {
     PlacementCandidate facts;
@@ -383,133 +273,6 @@
                            .compared = facts.size() };
 }
 
-void TaggedRouter::moveTo(Flow &flow, const std::shared_ptr<Host> &host)
-{
-    release(flow);
-    flow.host = host;
-    flow.host->open += flow.phase != FlowPhase::Ended ? 1 : 0;
-}
-
-void TaggedRouter::release(Flow &flow)
-{
-    if (!flow.host) {
-        return;
-    }
-    endRequest(flow, false, {});
-    flow.host->open -= flow.phase != FlowPhase::Ended ? 1 : 0;
-    flow.host.reset();
-}
-
-void TaggedRouter::beginRequest(Flow &flow, TimePoint now)
-{
-    if (flow.busy) {
-        return;
-    }
-    flow.busy = true;
-    flow.host->busy += 1;
-    flow.service = flow.host->status.upstream.service;
-    flow.ticket = admission(flow.service).begin(flow.objective, now);
-}
-
-void TaggedRouter::endRequest(Flow &flow, bool answered, TimePoint now)
-{
-    if (!flow.busy) {
-        return;
-    }
-    flow.busy = false;
-    flow.host->busy -= 1;
-    if (answered) {
-        admission(flow.service).finish(flow.ticket, now);
-    } else {
-        admission(flow.service).abandon(flow.ticket);
-    }
-}
-
-void TaggedRouter::setPhase(Flow &flow, FlowPhase phase)
-{
-    if (flow.phase != FlowPhase::Ended && phase == FlowPhase::Ended) {
-        flow.host->open -= 1;
-    }
-    flow.phase = phase;
-}
-
-bool TaggedRouter::track(const FlowPacket &packet,
-                         const DirectoryEntry &entry,
-                         const std::shared_ptr<Host> &host,
-                         TimePoint now)
-{
-    const FlowId id { packet.caller, packet.entry };
-    auto found = flows_.find(id);
-    if (found == flows_.end()) {
-        if (flows_.size() >= settings_.maxTrackedFlows) {
-            return false;
-        }
-        found = flows_.emplace(id, Flow {}).first;
-        found->second.phase = FlowPhase::Open;
-        found->second.nextSequence = packet.sequence;
-        found->second.acknowledged = packet.acknowledged;
-        found->second.objective = entry.latencyObjective;
-        moveTo(found->second, host);
-    }
-    Flow &flow = found->second;
-    flow.lastPacket = now;
-    if (flow.host != host) {
-        moveTo(flow, host);
-    }
-    if (flow.phase == FlowPhase::Opening) {
-        setPhase(flow, FlowPhase::Open);
-        flow.acknowledged = packet.acknowledged;
-        noteProgress(host->signals, now);
-    }
-    const bool unanswered = trackData(packet, flow, now);
-    if (packet.fin || packet.reset) {
-        if (packet.reset) {
-            endRequest(flow, false, now);
-        }
-        setPhase(flow, FlowPhase::Ended);
-    }
-    return unanswered;
-}
-
-bool TaggedRouter::trackData(const FlowPacket &packet, Flow &flow, TimePoint now)
-{
-    if (packet.ack && isAfter(packet.acknowledged, flow.acknowledged)) {
-        flow.acknowledged = packet.acknowledged;
-        flow.missed = false;
-        noteProgress(flow.host->signals, now);
-        endRequest(flow, true, now);
-    }
-    if (packet.dataBytes == 0) {
-        return false;
-    }
-    const std::uint32_t end = packet.sequence + packet.dataBytes;
-    if (isAfter(end, flow.nextSequence)) {
-        flow.nextSequence = end;
-        if (flow.phase != FlowPhase::Ended) {
-            beginRequest(flow, now);
-        }
-        return false;
-    }
-    ++counters_.repeatedData;
-    if (flow.missed) {
-        return false;
-    }
-    flow.missed = true;
-    miss(*flow.host, now);
-    return true;
-}
-
-void TaggedRouter::miss(Host &host, TimePoint now)
-{
-    ++counters_.misses;
-    noteMiss(host.signals, settings_.signals, now);
-    if (wantsCheck(host.signals, settings_.signals, now)) {
-        checks_.push_back({ .upstream = host.status.upstream.id,
-                            .incarnation = host.status.upstream.incarnation,
-                            .address = host.status.upstream.httpEndpoint });
-    }
-}
-
 std::optional<TaggedRefusal> TaggedRouter::resetReason(
     const FlowPacket &packet, const DirectoryEntry &entry, const Host &host, bool unanswered, TimePoint now) const
 {
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -234,7 +234,7 @@
     TaggedDecision
     routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayWait);
     std::optional<KeepPacket>
-    keepData(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now);
+    keepIfCrowded(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now);
     /// Facts of a request whose first packet is this; @p unknownFlow says that this VM has no record of its flow.
     WaitingFacts waitingFacts(const FlowPacket &packet,
                               const DirectoryEntry &entry,
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -17,8 +17,6 @@
 constexpr Port packetPort { 8172 };
 constexpr std::uint16_t adminPort = 8167;
 constexpr std::uint16_t relayPort = 8166;
-/// VMs that the others learn of the directory from.
-constexpr std::size_t relays = 2;
 constexpr std::uint16_t storePort = 8169;
 constexpr std::uint16_t hostPort = 8080;
 // Third numbers of the addresses of each group.
@@ -89,14 +87,13 @@
 
 void World::writeSettings(const Vm &vm) const
 {
-    std::ofstream settings(vm.process->settingsPath());
-    settings << "vm: " << vm.process->name() << "\nzone: kgd-north\nendpoints:\n  packet: " << toString(vm.packet)
-             << "\n  admin: " << toString(vm.admin) << "\n  relay: " << toString(vm.relay)
-             << "\ndirectory: " << toString(at(storeGroup, 1, storePort)) << "\nrelays:\n";
-    for (std::size_t i = 0; i < relays; ++i) {
-        settings << "  - " << toString(at(vmGroup, i + 1, relayPort)) << '\n';
-    }
-    settings << "log_level: debug\n";
+    // The first two VMs read the directory for the others.
+    std::ofstream(vm.process->settingsPath())
+        << "vm: " << vm.process->name() << "\nzone: kgd-north\nendpoints:\n  packet: " << toString(vm.packet)
+        << "\n  admin: " << toString(vm.admin) << "\n  relay: " << toString(vm.relay)
+        << "\ndirectory: " << toString(at(storeGroup, 1, storePort)) << "\nrelays: ["
+        << toString(at(vmGroup, 1, relayPort)) << ", " << toString(at(vmGroup, 2, relayPort))
+        << "]\nlog_level: debug\n";
 }
 
 void World::addHost(const std::string &service, const Endpoint &address)
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -1,5 +1,7 @@
 #include "views/directory_relay.h"
 
+#include "directory_records.h"
+
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -16,22 +18,6 @@
 const Endpoint secondRelay { .address = { 2 }, .port = { 80 } };
 const Endpoint plainVm { .address = { 9 }, .port = { 80 } };
 
-DirectoryItem host(std::uint64_t id, std::uint64_t revision, UpstreamState state = UpstreamState::Active)
-{
-    UpstreamRecord record;
-    record.id = UpstreamId { id };
-    record.incarnation = Incarnation { 1 };
-    record.service = "ledger";
-    record.zone = "kgd-north";
-    record.state = state;
-    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = record };
-}
-
-DirectoryItem removed(std::uint64_t id, std::uint64_t revision)
-{
-    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = RemovedRecord {} };
-}
-
 DirectoryItem catalogue(std::uint64_t version, std::uint64_t revision)
 {
     CatalogueRecord record;
--- a/tests/views/directory_test.cpp
+++ b/tests/views/directory_test.cpp
@@ -1,3 +1,4 @@
+#include "directory_records.h"
 #include "views/directory_mirror.h"
 #include "views/directory_reader.h"
 
@@ -12,22 +13,6 @@
 
 using namespace std::chrono_literals;
 
-DirectoryItem host(std::uint64_t id, std::uint64_t revision, UpstreamState state = UpstreamState::Active)
-{
-    UpstreamRecord record;
-    record.id = UpstreamId { id };
-    record.incarnation = Incarnation { 1 };
-    record.service = "ledger";
-    record.zone = "kgd-north";
-    record.state = state;
-    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = record };
-}
-
-DirectoryItem removed(std::uint64_t id, std::uint64_t revision)
-{
-    return { .key = "hosts/" + std::to_string(id), .revision = { revision }, .content = RemovedRecord {} };
-}
-
 DirectoryItem catalogue(std::uint64_t version, std::uint64_t revision, std::size_t entries = 1)
 {
     CatalogueRecord record;
