Drop SYNs that waited in vain instead of resetting them

Cause: found by reading the diff. A SYN may wait at a VM for up to 1.2 s while a copy of it opens the flow through another VM, as rotation changes when VMs come back.

Change: such a SYN is dropped and logged; the caller gives up by itself 0.2 s later. Acknowledgements without data pass a waiting request of their flow.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -140,7 +140,9 @@
 
 TaggedDecision TaggedNode::decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes)
 {
-    if (!waiting_.empty() && waiting_.holds(packet)) {
+    // Acknowledgements of earlier answers go on.
+    const bool ofRequest = packet.syn || packet.fin || packet.reset || packet.dataBytes > 0;
+    if (ofRequest && !waiting_.empty() && waiting_.holds(packet)) {
         if (!packet.reset) {
             waiting_.append(packet, bytes);
             return KeepPacket {};
@@ -170,12 +172,12 @@
             release(std::move(*request), now, released);
         }
     }
-    // A flow that isn't open yet can be refused with certainty. An open one can't: its host lives, and a reset would
-    // break it.
+    // Neither is reset: a copy of the SYN may have opened the flow through another VM, and the host of an open flow
+    // lives.
     for (WaitingRequest &request : waiting_.takeExpired(now)) {
         if (request.packets.front().head.syn) {
             released.push_back({ .packet = std::move(request.packets.front()),
-                                 .decision = router_.refuseCrowded(),
+                                 .decision = router_.dropCrowded(),
                                  .waited = now - request.keptSince });
         } else {
             release(std::move(request), now, released);
--- a/programs/boragelugctl/event_log.cpp
+++ b/programs/boragelugctl/event_log.cpp
@@ -62,6 +62,7 @@
 struct Signs
 {
     std::optional<std::string> refusal;
+    std::optional<std::string> drop;
     std::string upstream;
     bool unanswered = false;
     bool upstreamSilent = false;
@@ -83,6 +84,9 @@
             if (event.number == EventNumber::FlowRefused) {
                 signs.refusal = fieldOf(event, "reason");
             }
+            if (event.number == EventNumber::PacketDropped) {
+                signs.drop = fieldOf(event, "reason");
+            }
         }
         signs.upstreamSilent = signs.upstreamSilent
             || (event.number == EventNumber::UpstreamChecked && fieldOf(event, "answered") == "no");
@@ -101,9 +105,6 @@
     if (signs.refusal == "no_upstream") {
         return "refused: the entry's service had no upstream that takes flows; nothing was run";
     }
-    if (signs.refusal == "crowded") {
-        return "refused: its service was crowded and the request waited too long; nothing was run";
-    }
     if (signs.refusal == "silent_upstream" || signs.refusal == "ended_upstream" || signs.upstreamSilent
         || (signs.unanswered && signs.upstreamGone)) {
         return "upstream " + signs.upstream + " fell silent; what it was working on is lost";
@@ -112,6 +113,12 @@
         return "no answer of upstream " + signs.upstream
             + " while the VM lost the directory: the VM or a zone was cut off";
     }
+    if (signs.drop == "crowded") {
+        return "its service was crowded: the request waited until its caller was about to give up";
+    }
+    if (signs.drop == "unknown_entry") {
+        return "dropped: catalogue " + signs.catalogue + " has no entry with that address, as far as the VM could tell";
+    }
     if (signs.slept) {
         return "a VM that carried the flow did not run for a while";
     }
--- a/routing/service_admission.h
+++ b/routing/service_admission.h
@@ -35,8 +35,8 @@
     double lateLimitShare = 0.75;
     /// A request that has waited for this part of its objective will be late: serving it takes the rest.
     double lateShare = 0.6;
-    /// When callers send the copies of a SYN, counted from the first one, and when they give up opening a flow. A
-    /// refusal shortly before that lets them try again earlier.
+    /// When callers send the copies of a SYN, counted from the first one. They give up opening a flow after 1.4 s; a
+    /// SYN that goes on later than the last time opens a flow that nobody uses.
     Duration firstCopy = std::chrono::milliseconds(200);
     Duration secondCopy = std::chrono::milliseconds(600);
     Duration openingTimeout = std::chrono::milliseconds(1200);
--- a/routing/tagged_admission.cpp
+++ b/routing/tagged_admission.cpp
@@ -92,10 +92,10 @@
     return local > 0 ? local : all;
 }
 
-ResetFlow TaggedRouter::refuseCrowded()
+IgnorePacket TaggedRouter::dropCrowded()
 {
-    ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::Crowded));
-    return ResetFlow { .reason = TaggedRefusal::Crowded, .upstream = {} };
+    ++counters_.ignored.at(static_cast<std::size_t>(TaggedRefusal::Crowded));
+    return IgnorePacket { TaggedRefusal::Crowded };
 }
 
 std::vector<std::pair<ServiceId, double>> TaggedRouter::admissionLimits() const
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -55,7 +55,7 @@
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
     SilentUpstream, ///< The flow's upstream answers nothing any more, and the caller may try again.
     EndedUpstream, ///< The flow's upstream is no longer listed, and none of its flows makes progress.
-    Crowded, ///< The request waited too long for room at its service; it was not sent to any upstream.
+    Crowded, ///< The request waited too long for room at its service; this VM sent it nowhere.
 };
 
 /// Number of values of TaggedRefusal.
@@ -98,7 +98,8 @@
 struct KeepPacket
 {
     WaitingFacts facts;
-    /// What decided: requests in progress, their limit, and the mean time of answers as a part of their objectives.
+    /// What decided: requests in progress, their limit, and the mean time of answers as a part of their objectives. The
+    /// limit is 0 for a further packet of a request that waits already.
     std::size_t inProgress = 0;
     double limit = 0;
     double meanShare = 0;
@@ -172,8 +173,8 @@
     /// more.
     bool hasRoom(ServiceId service, bool late, TimePoint now);
 
-    /// Counts a flow that waited in vain and is reset.
-    ResetFlow refuseCrowded();
+    /// Counts a SYN that waited in vain.
+    IgnorePacket dropCrowded();
 
     /// Requests that this VM lets each service work on at once.
     std::vector<std::pair<ServiceId, double>> admissionLimits() const;
--- a/tests/node/tagged_node_test.cpp
+++ b/tests/node/tagged_node_test.cpp
@@ -15,14 +15,15 @@
 
 const Endpoint entry { .address = { 0xc6120001 }, .port = { 443 } };
 
-DirectoryItem catalogueItem(std::uint64_t version)
+DirectoryItem catalogueItem(std::uint64_t version, Duration objective = {})
 {
     CatalogueRecord record;
     record.version = CatalogueVersion { version };
     record.entries = { { .name = EntryName { "ledger" },
                          .address = entry,
                          .services = { { .service = "ledger", .weight = 1 } },
-                         .idempotent = true } };
+                         .idempotent = true,
+                         .latencyObjective = objective } };
     return { .key = "catalogue", .revision = { version }, .content = record };
 }
 
@@ -249,5 +250,46 @@
     EXPECT_NE(std::find(event.fields.begin(), event.fields.end(), upstream), event.fields.end());
 }
 
+// Guards flows that a copy of a waiting SYN opened through another VM: one that waits in vain is dropped, not reset.
+TEST_F(TaggedNodeTest, DropsASynThatWaitedInVain)
+{
+    answer(DirectoryPage {
+        .items = { catalogueItem(1, 10s), hostItem(1, 2) }, .more = false, .lastKey = {}, .asOf = { 3 } });
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(opening(1)));
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(opening(2)));
+    EXPECT_TRUE(std::holds_alternative<KeepPacket>(opening(3)));
+    EXPECT_TRUE(node.takeReleased(now, events).empty());
+    now += AdmissionSettings {}.openingTimeout;
+    const auto released = node.takeReleased(now, events);
+    ASSERT_EQ(released.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<IgnorePacket>(released.front().decision));
+    EXPECT_EQ(node.waitingRequests(), 0U);
+}
+
+// Guards requests in front of a crowd: what waits goes on when an answer makes room, and acknowledgements never wait.
+TEST_F(TaggedNodeTest, ReleasesARequestWhenAnAnswerMakesRoom)
+{
+    answer(DirectoryPage {
+        .items = { catalogueItem(1, 10s), hostItem(1, 2) }, .more = false, .lastKey = {}, .asOf = { 3 } });
+    opening(1);
+    opening(2);
+    EXPECT_TRUE(std::holds_alternative<KeepPacket>(opening(3)));
+    FlowPacket ack;
+    ack.caller = { .address = { 0x64400001 }, .port = { 1 } };
+    ack.entry = entry;
+    ack.tag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    ack.ack = true;
+    ack.sequence = 2;
+    ack.acknowledged = 1;
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(node.handlePacket(ack, now, events)));
+    EXPECT_TRUE(node.takeReleased(now, events).empty());
+    ack.acknowledged = 100;
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(node.handlePacket(ack, now, events)));
+    const auto released = node.takeReleased(now, events);
+    ASSERT_EQ(released.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(released.front().decision));
+    EXPECT_EQ(released.front().packet.head.caller.port.value, 3);
+}
+
 } // namespace
 } // namespace boragelug
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -125,10 +125,12 @@
     inProgress_.reset();
     if (call.kind == DirectoryCall::Kind::Follow) {
         const auto *followed = std::get_if<DirectoryChanges>(&answer.result);
+        const auto *failure = std::get_if<DirectoryFailure>(&answer.result);
         if (followed != nullptr) {
             handleFollowed(call, *followed, now, random, outcome);
         } else {
-            handleFollowFailure(call, std::get<DirectoryFailure>(answer.result).detail, now, random, outcome);
+            const std::string reason = failure != nullptr ? failure->detail : "not an answer to this call";
+            handleFollowFailure(call, reason, now, random, outcome);
         }
         return outcome;
     }
