Keep a flow where it was opened, and drop SYNs that waited during a suspension

The caller opens the flow at one of them, but takes over the tag of the answer that arrives last, so its packets reach the other upstream. Change: a VM with a record of the open flow forwards to the upstream at which it was opened, whatever the tag says, as long as the sequence numbers continue the record. A SYN that is read within 100 ms after a suspension is dropped, except for the last copy, which callers send only if the flow isn't open. New drop reason: outdated_syn. Test changed: ResetsNothingAfterASuspension now waits for socketDrainTime before the reset, as a SYN read earlier is dropped; its checks are kept and one is added.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// Number that callers give to the last copy of a SYN.
+constexpr std::uint32_t lastSynCopy = 2;
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -86,7 +89,8 @@
     constexpr std::array<std::string_view, taggedRefusalCount> names { "no_view",        "unknown_entry",
                                                                        "no_upstream",    "unknown_tag",
                                                                        "foreign_tag",    "silent_upstream",
-                                                                       "ended_upstream", "crowded" };
+                                                                       "ended_upstream", "crowded",
+                                                                       "outdated_syn" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -109,7 +113,8 @@
 {
     handleTickGap(now, events);
     lastPacket_ = now;
-    const TaggedDecision decision = decide(packet, now, bytes);
+    const TaggedDecision decision =
+        isOutdatedSyn(packet, now) ? router_.dropSyn(TaggedRefusal::OutdatedSyn) : decide(packet, now, bytes);
     appendDecisionEvent(packet, decision, std::nullopt, now, events);
     return decision;
 }
@@ -126,6 +131,13 @@
     return age && *age <= router_.sinceFirstSyn(packet);
 }
 
+// A SYN that waited during a suspension may have been sent long ago, and a copy of it may have opened the flow through
+// another VM. The last copy is still placed, as callers send it only if the flow is not open.
+bool TaggedNode::isOutdatedSyn(const FlowPacket &packet, TimePoint now) const
+{
+    return packet.syn && packet.synCopies < lastSynCopy && resumedAt_ && now - *resumedAt_ < settings_.socketDrainTime;
+}
+
 // Called for packets too: those that waited in the socket of a suspended process are read before the next tick.
 void TaggedNode::handleTickGap(TimePoint now, std::vector<NodeEvent> &events)
 {
@@ -137,6 +149,7 @@
                        .causeId = 0,
                        .fields = { { "milliseconds", milliseconds(now - *lastTick_) } } });
     lastTick_ = now;
+    resumedAt_ = now;
 }
 
 TaggedDecision TaggedNode::decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes)
@@ -178,7 +191,7 @@
     for (WaitingRequest &request : waiting_.takeExpired(now)) {
         if (request.packets.front().head.syn) {
             dequeued.push_back({ .packet = std::move(request.packets.front()),
-                                 .decision = router_.dropExpiredSyn(),
+                                 .decision = router_.dropSyn(TaggedRefusal::ConcurrencyLimit),
                                  .waited = now - request.queuedAt });
         } else {
             routeDequeued(std::move(request), now, dequeued);
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -32,6 +32,8 @@
     WaitingSettings waiting;
     /// A longer gap between ticks counts as a suspension of the process, after which its state is outdated.
     Duration suspensionThreshold = std::chrono::seconds(1);
+    /// Packets that are read within this time after a suspension may have waited in the socket meanwhile.
+    Duration socketDrainTime = std::chrono::milliseconds(100);
     /// Time that the fabric takes to detect that this VM drains: two failed health checks, which it runs twice a
     /// second, plus a margin.
     Duration fabricDetectionTime = std::chrono::milliseconds(1300);
@@ -139,6 +141,7 @@
 private:
     void publish(TimePoint now);
     bool mayReset(const FlowPacket &packet, TimePoint now) const;
+    bool isOutdatedSyn(const FlowPacket &packet, TimePoint now) const;
     void handleTickGap(TimePoint now, std::vector<NodeEvent> &events);
     TaggedDecision decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes);
     void routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued);
@@ -166,6 +169,8 @@
     FlowSampler problemSampler_;
     bool wasReady_ = false;
     std::optional<TimePoint> lastTick_;
+    /// End of the last suspension.
+    std::optional<TimePoint> resumedAt_;
     std::optional<TimePoint> lastPacket_;
     std::optional<TimePoint> drainStart_;
 };
--- a/programs/boragelugctl/event_log.cpp
+++ b/programs/boragelugctl/event_log.cpp
@@ -116,6 +116,9 @@
     if (signs.drop == "crowded") {
         return "its service was crowded: the request waited until its caller was about to give up";
     }
+    if (signs.drop == "outdated_syn") {
+        return "the VM had been suspended: it dropped the SYN, which may have been sent long before";
+    }
     if (signs.drop == "unknown_entry") {
         return "dropped: catalogue " + signs.catalogue + " has no entry with that address, as far as the VM could tell";
     }
--- a/routing/sequence_number.h
+++ b/routing/sequence_number.h
@@ -11,4 +11,10 @@
     return static_cast<std::int32_t>(left - right) > 0;
 }
 
+/// Whether two TCP sequence numbers are at most @p distance apart, modulo 2^32. Thread-safe.
+inline bool isNear(std::uint32_t left, std::uint32_t right, std::uint32_t distance)
+{
+    return left - right <= distance || right - left <= distance;
+}
+
 } // namespace boragelug
--- a/routing/tagged_admission.cpp
+++ b/routing/tagged_admission.cpp
@@ -99,10 +99,10 @@
     return local > 0 ? local : all;
 }
 
-DropPacket TaggedRouter::dropExpiredSyn()
+DropPacket TaggedRouter::dropSyn(TaggedRefusal reason)
 {
-    ++counters_.dropped.at(static_cast<std::size_t>(TaggedRefusal::ConcurrencyLimit));
-    return DropPacket { TaggedRefusal::ConcurrencyLimit };
+    ++counters_.dropped.at(static_cast<std::size_t>(reason));
+    return DropPacket { reason };
 }
 
 std::vector<std::pair<ServiceId, double>> TaggedRouter::admissionLimits() const
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "routing/flow_tag.h"
+#include "routing/sequence_number.h"
 
 #include <algorithm>
 
@@ -11,6 +12,8 @@
 {
 
 constexpr Duration sweepInterval = std::chrono::milliseconds(500);
+/// Maximum distance in bytes between a packet and the record of its flow, which this VM may have seen only parts of.
+constexpr std::uint32_t maxSequenceGap = 1U << 20U;
 
 bool serves(const DirectoryEntry &entry, ServiceId service)
 {
@@ -123,6 +126,30 @@
     return nullptr;
 }
 
+// A SYN and its copies may be answered by two upstreams. The caller opens the flow at one of them, but uses the tag of
+// the answer that it received last. Only the record of the flow tells where it was opened.
+std::shared_ptr<TaggedRouter::TrackedUpstream> TaggedRouter::findUpstream(const FlowPacket &packet,
+                                                                          const DirectoryEntry &entry) const
+{
+    auto tagged = findTagged(packet.tag, entry);
+    const auto found = flows_.find(FlowId { packet.caller, packet.entry });
+    if (found == flows_.end() || found->second.phase == FlowPhase::Opening || found->second.upstream == tagged) {
+        return tagged;
+    }
+    const Flow &flow = found->second;
+    const DirectoryUpstream &status = flow.upstream->status;
+    const bool inView = upstreams_.contains({ status.upstream.id.value, status.upstream.incarnation.value });
+    const bool mayHoldFlow = inView && status.listing != Listing::Gone && serves(entry, status.upstream.service);
+    return mayHoldFlow && continues(flow, packet) ? flow.upstream : tagged;
+}
+
+// Packets of a later flow on the same port have unrelated sequence numbers.
+bool TaggedRouter::continues(const Flow &flow, const FlowPacket &packet)
+{
+    return isNear(packet.sequence, flow.nextSequence, maxSequenceGap)
+        && isNear(packet.acknowledged, flow.acknowledged, maxSequenceGap);
+}
+
 TaggedDecision TaggedRouter::route(const FlowPacket &packet, bool viewIsFresh, TimePoint now, bool mayQueue)
 {
     if (!view_) {
@@ -135,7 +162,7 @@
     if (packet.syn) {
         return routeSyn(packet, *entry, viewIsFresh, now, mayQueue);
     }
-    const auto upstream = findTagged(packet.tag, *entry);
+    const auto upstream = findUpstream(packet, *entry);
     if (!upstream) {
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -58,10 +58,11 @@
     SilentUpstream, ///< The flow's upstream no longer responds, and the entry's requests are idempotent.
     EndedUpstream, ///< The flow's upstream is unlisted, and none of its flows makes progress.
     ConcurrencyLimit, ///< The request timed out in the queue for its service, and was not sent to any upstream.
+    OutdatedSyn, ///< The SYN waited in the socket of a suspended process.
 };
 
 /// Number of values of TaggedRefusal.
-inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::ConcurrencyLimit) + 1;
+inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::OutdatedSyn) + 1;
 
 /// Why the upstream of a new flow was chosen: for its first SYN, again for a copy of the SYN, or another one because
 /// the first did not answer.
@@ -178,8 +179,8 @@
     /// answered in time.
     bool isBelowLimit(ServiceId service, bool late, TimePoint now);
 
-    /// Counts a SYN that timed out in the queue.
-    DropPacket dropExpiredSyn();
+    /// Counts a SYN that isn't placed, because of @p reason.
+    DropPacket dropSyn(TaggedRefusal reason);
 
     /// Concurrency limit of this VM's requests at each service.
     std::vector<std::pair<ServiceId, double>> admissionLimits() const;
@@ -237,6 +238,8 @@
 
     const DirectoryEntry *findEntry(const Endpoint &address) const;
     std::shared_ptr<TrackedUpstream> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
+    std::shared_ptr<TrackedUpstream> findUpstream(const FlowPacket &packet, const DirectoryEntry &entry) const;
+    static bool continues(const Flow &flow, const FlowPacket &packet);
     TaggedDecision
     routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayQueue);
     std::optional<QueuePacket>
--- /dev/null
+++ b/soak/fault_plan.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/time_point.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace boragelug::soak
+{
+
+/// What a fault affects.
+enum class FaultTarget : std::uint8_t {
+    Vm, ///< A VM's process is killed, paused, reloaded or stopped.
+    Upstream, ///< An upstream crashes or drains.
+    Store,
+    Catalogue, ///< An entry is added or removed.
+    Network, ///< Packets to the VMs are lost, duplicated and delayed.
+    Partition ///< One VM is cut off in one direction: from callers, or from upstreams.
+};
+
+/// One fault of a plan. What exactly happens is drawn from the fault's own seed, so that it doesn't depend on the
+/// faults before it.
+struct PlannedFault
+{
+    /// Since the start of the time with faults.
+    Duration at {};
+    FaultTarget target = FaultTarget::Vm;
+    std::uint64_t seed = 0;
+
+    bool operator==(const PlannedFault &) const = default;
+};
+
+/// The faults of a run whose time with faults has the given @p length, ordered by time. The same arguments give the same
+/// plan on every machine and under every load. Thread-safe.
+std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length);
+
+} // namespace boragelug::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <optional>
 
 #include <getopt.h>
 #include <sysexits.h>
@@ -36,8 +37,8 @@
     bool valid = true;
 };
 
-/// The sabotage with this name; Sabotage::None if the name is unknown.
-Sabotage parseSabotage(const std::string &name)
+/// The sabotage with this name; std::nullopt if the name is unknown.
+std::optional<Sabotage> parseSabotage(const std::string &name)
 {
     const std::vector<std::pair<std::string, Sabotage>> names { { "bytes", Sabotage::Bytes },
                                                                 { "withhold", Sabotage::Withhold },
@@ -49,7 +50,7 @@
             return value;
         }
     }
-    return Sabotage::None;
+    return std::nullopt;
 }
 
 Options parse(int argc, char **argv)
@@ -89,7 +90,8 @@
             options.network = static_cast<std::uint8_t>(std::stoul(value));
             break;
         case 'b':
-            options.plan.sabotage = parseSabotage(value);
+            options.valid = options.valid && parseSabotage(value);
+            options.plan.sabotage = parseSabotage(value).value_or(Sabotage::None);
             break;
         default:
             options.valid = false;
--- a/soak/simulated_upstream.cpp
+++ b/soak/simulated_upstream.cpp
@@ -45,6 +45,10 @@
     if (datagram.size() < idPrefixBytes || readBigEndian<std::uint64_t>(datagram, 0) != id_) {
         return;
     }
+    const std::size_t vm = environment_.vmNumber(from);
+    if (environment_.isCutOff(vm)) {
+        return;
+    }
     const TimePoint now = environment_.now();
     const auto packet = decode(datagram.subspan(idPrefixBytes));
     if (!packet || packet->sum != checksum(*packet)) {
@@ -56,7 +60,6 @@
         invariants_.recordWrongService(service.empty() ? "no service" : service, service_, now);
         return;
     }
-    const std::size_t vm = environment_.vmNumber(from);
     if (packet->syn) {
         invariants_.checkNewFlow(vm, drainingSince_, removedAt, now);
         handleSyn(*packet, vm);
--- a/soak/simulated_upstream.h
+++ b/soak/simulated_upstream.h
@@ -32,6 +32,8 @@
         std::function<std::pair<std::string, std::optional<TimePoint>>(const Endpoint &entry)> findEntry;
         /// The number of the VM at an address.
         std::function<std::size_t(const Endpoint &vm)> vmNumber;
+        /// Whether packets of the VM with this number are lost on their way to upstreams.
+        std::function<bool(std::size_t vm)> isCutOff;
     };
 
     SimulatedUpstream(asio::io_context &context,
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -19,16 +19,17 @@
 constexpr std::uint16_t relayPort = 8166;
 constexpr std::uint16_t storePort = 8169;
 constexpr std::uint16_t upstreamPort = 8080;
+constexpr std::uint16_t entryPort = 443;
 // Third octet of the addresses of each group.
 constexpr std::uint8_t vmGroup = 10;
 constexpr std::uint8_t callerGroup = 20;
 constexpr std::uint8_t storeGroup = 30;
 constexpr std::uint8_t upstreamGroup = 40;
+constexpr std::uint8_t entryGroup = 50;
 // As on the platform: two readiness checks a second, out of rotation after two consecutive failures, delayed restart.
 constexpr Duration readinessCheckInterval = 500ms;
 constexpr unsigned failedChecksToLeaveRotation = 2;
 constexpr Duration restartDelay = 200ms;
-constexpr Duration drainDuration = 4s;
 constexpr Duration settleTime = 3s; // Without faults: before the first one, and while the recovery is measured.
 constexpr Duration finalOutage = 1s; // From the kill of all VMs at the end until their restart.
 
@@ -37,17 +38,18 @@
 SoakSimulation::SoakSimulation(Plan plan, std::uint8_t network)
     : plan_(std::move(plan))
     , network_(network)
-    , random_(plan_.seed)
+    , packetRandom_(plan_.seed)
     , invariants_(now())
     , start_(now())
     , fabric_(runtime_.context(), makeEndpoint(storeGroup, 2, 0))
+    , faults_(planFaults(plan_.seed, plan_.length))
 {
     store_ = std::make_unique<StoreStandin>(
         runtime_.context(), toTcpEndpoint(makeEndpoint(storeGroup, 1, storePort)), plan_.seed);
-    entries_ = { { .address = makeEndpoint(50, 1, 443), .service = "ledger", .removedAt = {} },
-                 { .address = makeEndpoint(50, 2, 443), .service = "inspection", .removedAt = {} } };
+    entries_ = { { .address = entryEndpoint(1), .service = "ledger", .removedAt = {} },
+                 { .address = entryEndpoint(2), .service = "inspection", .removedAt = {} } };
     for (std::size_t i = 0; i < plan_.upstreams; ++i) {
-        addUpstream(i % 3 == 2 ? "inspection" : "ledger", makeEndpoint(upstreamGroup, i + 1, upstreamPort));
+        addUpstream(i % 3 == 2 ? "inspection" : "ledger", upstreamEndpoint(i + 1));
     }
     writeCatalogue();
     for (std::size_t i = 0; i < plan_.vms; ++i) {
@@ -85,6 +87,16 @@
              .port = Port { port } };
 }
 
+Endpoint SoakSimulation::upstreamEndpoint(std::size_t number) const
+{
+    return makeEndpoint(upstreamGroup, number, upstreamPort);
+}
+
+Endpoint SoakSimulation::entryEndpoint(std::size_t number) const
+{
+    return makeEndpoint(entryGroup, number, entryPort);
+}
+
 void SoakSimulation::writeSettings(const Vm &vm) const
 {
     // The first two VMs are the relays, which pass on directory changes to the others.
@@ -113,6 +125,7 @@
             return {};
         },
         .vmNumber = [](const Endpoint &vm) { return vm.address.value & 0xffU; },
+        .isCutOff = [this](std::size_t vm) { return now() < vms_.at(vm - 1).cutFromUpstreamsUntil; },
     };
     const bool mislabeled = plan_.sabotage == Sabotage::Service && nextUpstreamId_ == 1;
     upstreams_.push_back(std::make_unique<SimulatedUpstream>(
@@ -143,7 +156,7 @@
 
 void SoakSimulation::writeCatalogue()
 {
-    catalogueVersion_ += 1 + random_.below(4);
+    catalogueVersion_ += 1 + catalogueVersion_ % 4;
     CatalogueRecord catalogue;
     catalogue.version = CatalogueVersion { catalogueVersion_ };
     for (const Entry &entry : entries_) {
@@ -192,12 +205,13 @@
         return;
     }
     const auto vm = chooseVm(packet);
-    if (!vm || random_.below(1000) < lossPerMille_ || (plan_.sabotage == Sabotage::Deaf && vms_[*vm].restarted)) {
+    if (!vm || now() < vms_[*vm].cutFromCallersUntil || packetRandom_.below(1000) < lossPerMille_
+        || (plan_.sabotage == Sabotage::Deaf && vms_[*vm].restarted)) {
         return;
     }
     // Each packet gets its own random delay, so that packets are reordered; some are duplicated.
-    const Duration delay = maxPacketDelay_ * static_cast<std::int64_t>(random_.below(100)) / 100;
-    const bool duplicate = random_.below(1000) < lossPerMille_;
+    const Duration delay = maxPacketDelay_ * static_cast<std::int64_t>(packetRandom_.below(100)) / 100;
+    const bool duplicate = packetRandom_.below(1000) < lossPerMille_;
     if (delay == Duration {} && !duplicate) {
         fabric_.send(vms_[*vm].packet, packet);
         return;
@@ -295,143 +309,6 @@
     }
 }
 
-void SoakSimulation::injectVmFault()
-{
-    Vm &vm = vms_[random_.below(vms_.size())];
-    const std::uint64_t kind = random_.below(5);
-    if (!vm.process->isRunning() || vm.resumeAt || vm.stoppingSince) {
-        return;
-    }
-    if (kind == 0) {
-        recordFault("kill " + vm.process->name());
-        vm.process->signal(SIGKILL);
-    } else if (kind == 1) {
-        vm.resumeAt = now() + std::chrono::milliseconds(300 + random_.below(3000));
-        recordFault("pause " + vm.process->name());
-        vm.process->signal(SIGSTOP);
-    } else if (kind == 2) {
-        recordFault("reload " + vm.process->name());
-        vm.process->signal(SIGHUP);
-    } else {
-        recordFault("stop " + vm.process->name());
-        vm.stoppingSince = now();
-        vm.process->signal(SIGTERM);
-    }
-}
-
-void SoakSimulation::injectUpstreamFault()
-{
-    if (upstreams_.size() < 4) {
-        return;
-    }
-    auto chosen = std::next(upstreams_.begin(), static_cast<long>(random_.below(upstreams_.size())));
-    SimulatedUpstream &upstream = **chosen;
-    const Endpoint address = upstream.address();
-    const std::string key = hostKey(UpstreamId { upstream.id() });
-    const std::string service = upstream.service();
-    if (random_.chance(0.5)) {
-        if (upstream.isDraining()) {
-            return;
-        }
-        recordFault("drain upstream " + std::to_string(upstream.id()));
-        drainUpstream(upstream);
-        runAfter(drainDuration, [this, id = upstream.id(), key] {
-            std::erase_if(upstreams_, [&](const auto &known) { return known->id() == id; });
-            store_->remove(key);
-        });
-        // The replacement has an address of its own, because the draining upstream still uses the old one.
-        addUpstream(service, makeEndpoint(upstreamGroup, 100 + nextUpstreamId_ % 100, upstreamPort));
-        return;
-    }
-    recordFault("crash upstream " + std::to_string(upstream.id()));
-    upstreams_.erase(chosen);
-    runAfter(2s, [this, key] { store_->remove(key); });
-    // An upstream of the other service reuses the address of the crashed one, unless that is taken.
-    runAfter(2500ms, [this, service, address] {
-        const bool taken = std::any_of(
-            upstreams_.begin(), upstreams_.end(), [&](const auto &other) { return other->address() == address; });
-        if (!taken) {
-            addUpstream(service == "ledger" ? "inspection" : "ledger", address);
-        }
-    });
-}
-
-void SoakSimulation::injectStoreFault()
-{
-    invariants_.recordStoreDisturbance(now());
-    if (random_.chance(0.25)) {
-        recordFault("store compacts its history");
-        store_->compact();
-        return;
-    }
-    if (store_->fault() != StoreFault::None) {
-        return;
-    }
-    const auto fault = static_cast<StoreFault>(1 + random_.below(5));
-    const auto outage = std::chrono::milliseconds(500 + random_.below(4000));
-    recordFault("store fault " + std::to_string(static_cast<int>(fault)) + " for " + std::to_string(outage.count())
-                + " ms");
-    store_->setFault(fault);
-    runAfter(outage, [this] {
-        store_->setFault(StoreFault::None);
-        invariants_.recordStoreDisturbance(now());
-    });
-}
-
-void SoakSimulation::changeCatalogue()
-{
-    const bool remove = entries_.size() > 4 && random_.chance(0.5);
-    if (remove) {
-        Entry &entry = entries_[2 + random_.below(entries_.size() - 2)]; // The first two always stay.
-        entry.removedAt = entry.removedAt.value_or(now());
-    } else {
-        entries_.push_back({ .address = makeEndpoint(50, entries_.size() + 1, 443),
-                             .service = random_.chance(0.5) ? "ledger" : "inspection",
-                             .removedAt = {} });
-    }
-    recordFault(remove ? "remove an entry" : "add an entry");
-    writeCatalogue();
-}
-
-void SoakSimulation::injectNetworkFault()
-{
-    if (lossPerMille_ != 0) {
-        return;
-    }
-    lossPerMille_ = static_cast<std::uint32_t>(random_.below(80));
-    maxPacketDelay_ = std::chrono::milliseconds(random_.below(60));
-    recordFault("network drops, duplicates and delays packets");
-    runAfter(std::chrono::milliseconds(500 + random_.below(2000)), [this] {
-        lossPerMille_ = 0;
-        maxPacketDelay_ = {};
-    });
-}
-
-void SoakSimulation::injectFault()
-{
-    if (!faultsEnabled_ || now() < nextFault_) {
-        return;
-    }
-    nextFault_ = now() + std::chrono::milliseconds(random_.below(900));
-    switch (random_.below(6)) {
-    case 0:
-    case 1:
-        injectVmFault();
-        break;
-    case 2:
-        injectUpstreamFault();
-        break;
-    case 3:
-        injectStoreFault();
-        break;
-    case 4:
-        changeCatalogue();
-        break;
-    default:
-        injectNetworkFault();
-    }
-}
-
 void SoakSimulation::tick()
 {
     if (store_->fault() != StoreFault::None) {
@@ -439,7 +316,7 @@
     }
     superviseVms();
     checkReadiness();
-    injectFault();
+    injectFaults();
     std::vector<Endpoint> addresses;
     for (const Entry &entry : entries_) {
         addresses.push_back(entry.address); // Removed ones too: callers keep opening flows to them.
@@ -475,9 +352,9 @@
 Report SoakSimulation::run()
 {
     runFor(settleTime);
-    faultsEnabled_ = true;
+    faultsSince_ = now();
     runFor(plan_.length);
-    faultsEnabled_ = false;
+    faultsSince_.reset();
     recordFault("kill all VMs");
     for (Vm &vm : vms_) {
         vm.startAt = now() + finalOutage;
@@ -487,8 +364,9 @@
     takeCounts(); // Resets the counts, so that the next ones are those of the measurement.
     runFor(settleTime);
     const CallerCounts recovered = takeCounts();
-    report_.recoveredFraction =
+    const double fraction =
         recovered.requests == 0 ? 0 : static_cast<double>(recovered.served) / static_cast<double>(recovered.requests);
+    report_.recoveredFraction = std::min(fraction, 1.0);
     if (report_.recoveredFraction < bounds_.minRecoveredFraction) {
         invariants_.report("recovery", "less than a quarter of the requests was served after the restart", now());
     }
--- a/soak/soak_simulation.h
+++ b/soak/soak_simulation.h
@@ -6,6 +6,7 @@
 #include "drivers/udp_socket.h"
 #include "model/directory_record.h"
 #include "platform/standins/store_standin.h"
+#include "soak/fault_plan.h"
 #include "soak/invariant_checker.h"
 #include "soak/simulated_caller.h"
 #include "soak/simulated_upstream.h"
@@ -54,7 +55,7 @@
     std::uint64_t requests = 0;
     std::uint64_t served = 0;
     /// Requests served divided by requests sent in the last seconds of the run, after all VMs were killed and
-    /// restarted. Can exceed 1, as requests sent before these seconds may be served in them.
+    /// restarted; at most 1, although requests sent before these seconds may be served in them.
     double recoveredFraction = 0;
     std::size_t peakMemoryKib = 0;
     std::size_t peakDescriptors = 0;
@@ -91,6 +92,9 @@
         std::optional<TimePoint> resumeAt;
         std::optional<TimePoint> stoppingSince;
         bool restarted = false;
+        /// Until then, packets of callers don't reach the VM, or its packets don't reach upstreams.
+        TimePoint cutFromCallersUntil;
+        TimePoint cutFromUpstreamsUntil;
     };
 
     struct Entry
@@ -103,6 +107,8 @@
     TimePoint now() const { return runtime_.clock().now(); }
     /// The endpoint 127.network_.group.number:port.
     Endpoint makeEndpoint(std::uint8_t group, std::size_t number, std::uint16_t port) const;
+    Endpoint upstreamEndpoint(std::size_t number) const;
+    Endpoint entryEndpoint(std::size_t number) const;
     void writeSettings(const Vm &vm) const;
     void addUpstream(const std::string &service, const Endpoint &address);
     UpstreamRecord makeRecord(const SimulatedUpstream &upstream, const std::string &service) const;
@@ -113,12 +119,15 @@
     void checkReadiness();
     void tick();
     void superviseVms();
-    void injectFault();
-    void injectVmFault();
-    void injectUpstreamFault();
-    void injectStoreFault();
-    void changeCatalogue();
-    void injectNetworkFault();
+    /// Injects the faults that are due.
+    void injectFaults();
+    void inject(const PlannedFault &fault);
+    void injectVmFault(Random &random);
+    void injectUpstreamFault(Random &random);
+    void injectStoreFault(Random &random);
+    void changeCatalogue(Random &random);
+    void injectNetworkFault(Random &random);
+    void injectPartition(Random &random);
     void runAfter(Duration delay, std::function<void()> action);
     void recordFault(const std::string &what);
     void runFor(Duration length);
@@ -127,7 +136,8 @@
     Plan plan_;
     std::uint8_t network_;
     AsioRuntime runtime_;
-    Random random_;
+    /// Decides on packets only; faults have their own seeds.
+    Random packetRandom_;
     InvariantChecker invariants_;
     Bounds bounds_;
     TimePoint start_;
@@ -144,8 +154,10 @@
     /// Packets per thousand that the fabric drops, and also that it duplicates.
     std::uint32_t lossPerMille_ = 0;
     Duration maxPacketDelay_ {};
-    bool faultsEnabled_ = false;
-    TimePoint nextFault_;
+    std::vector<PlannedFault> faults_;
+    std::size_t nextFault_ = 0;
+    /// Start of the time with faults; std::nullopt while there are none.
+    std::optional<TimePoint> faultsSince_;
     TimePoint nextReadinessCheck_;
     Report report_;
 };
--- a/tests/node/tagged_node_test.cpp
+++ b/tests/node/tagged_node_test.cpp
@@ -161,6 +161,8 @@
     append(node.tick(now));
     EXPECT_TRUE(reported(EventNumber::ProcessSlept));
     EXPECT_TRUE(std::holds_alternative<DropPacket>(node.handlePacket(unknown, now, events)));
+    now += settings().socketDrainTime;
+    EXPECT_TRUE(std::holds_alternative<DropPacket>(node.handlePacket(unknown, now, events)));
     answer(DirectoryChanges { .items = {}, .asOf = { 3 } });
     EXPECT_TRUE(std::holds_alternative<ResetFlow>(node.handlePacket(unknown, now, events)));
 }
@@ -183,6 +185,33 @@
     EXPECT_EQ(events.size(), reportedEvents) << "the suspension is reported twice";
 }
 
+// A SYN that waited in the socket of a suspended VM must not be placed when the VM resumes: a copy of it may have opened
+// the flow through another VM, and a second upstream's answer would make the caller change its tag (soak seed 1026).
+// Only the last copy is placed: callers send it if no VM has opened the flow yet.
+TEST_F(TaggedNodeTest, PlacesNoSynThatWaitedDuringASuspension)
+{
+    becomeReady();
+    append(node.tick(now));
+    now += 2s;
+    FlowPacket waiting;
+    waiting.caller = { .address = { 0x64400001 }, .port = { 1 } };
+    waiting.entry = entry;
+    waiting.syn = true;
+    const auto decision = node.handlePacket(waiting, now, events);
+    ASSERT_TRUE(std::holds_alternative<DropPacket>(decision));
+    EXPECT_EQ(std::get<DropPacket>(decision).reason, TaggedRefusal::OutdatedSyn);
+    waiting.synCopies = 1;
+    EXPECT_TRUE(std::holds_alternative<DropPacket>(node.handlePacket(waiting, now + 20ms, events)));
+    waiting.synCopies = 2;
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(node.handlePacket(waiting, now + 20ms, events)));
+    // By now, the socket holds only packets that arrived after the VM resumed.
+    now += TaggedNodeSettings {}.socketDrainTime;
+    append(node.tick(now));
+    waiting.caller.port = { 2 };
+    waiting.synCopies = 0;
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(node.handlePacket(waiting, now, events)));
+}
+
 // Resetting a late SYN copy must not end a flow that another VM opened at an entry that was just added (soak seeds
 // 1029, 1041). Only a view that is newer than the caller's first SYN is known to hold the entry.
 TEST_F(TaggedNodeTest, ResetsOnlyWithAViewNewerThanTheFirstPacket)
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -216,6 +216,50 @@
     EXPECT_EQ(route(syn(1, 1))->upstream, first->upstream);
 }
 
+// Two upstreams answer the SYN of one flow if the first one is slow, and callers take over the tag of the later answer
+// although they opened the flow at the first upstream. Packets with that tag must still reach the first one (soak seed
+// 1026).
+TEST_F(TaggedRouterTest, KeepsAnOpenFlowAtItsUpstreamWhenTheTagChanges)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowPacket opening = syn(1, 1);
+    const auto first = route(opening);
+    now += 200ms;
+    const auto second = route(opening);
+    ASSERT_NE(second->upstream, first->upstream);
+    EXPECT_EQ(route(data(opening, first->tag, 0, 1))->upstream, first->upstream);
+    for (const std::uint32_t sent : { 0U, 100U, 5000U }) {
+        const auto later = route(data(opening, second->tag, sent, 1 + 20 * sent));
+        EXPECT_EQ(later->upstream, first->upstream);
+        EXPECT_EQ(later->tag, first->tag) << "the upstream returns this tag to the caller";
+    }
+}
+
+// A caller uses its port again, and another VM places the new flow: this VM's record of the earlier flow must not
+// decide where its packets go.
+TEST_F(TaggedRouterTest, FollowsTheTagOfANewFlowOnTheSamePort)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowTag firstTag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    const FlowTag secondTag = flowTagOf(UpstreamId { 2 }, Incarnation { 1 });
+    EXPECT_EQ(route(data(syn(1, 1), firstTag, 0, 1))->upstream, UpstreamId { 1 });
+    FlowPacket opening = syn(1, 1);
+    opening.sequence += 0x40000000;
+    EXPECT_EQ(route(data(opening, secondTag, 0, 0x70000000))->upstream, UpstreamId { 2 });
+}
+
+// An upstream that has exited can't hold the flow that its record names.
+TEST_F(TaggedRouterTest, FollowsTheTagOfALivingUpstream)
+{
+    auto gone = upstream(1, ledger, home);
+    setUpstreams({ gone, upstream(2, ledger, home) });
+    const FlowTag firstTag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    EXPECT_EQ(route(data(syn(1, 1), firstTag, 0, 1))->upstream, UpstreamId { 1 });
+    setUpstreams({ upstream(2, ledger, home) });
+    const FlowTag secondTag = flowTagOf(UpstreamId { 2 }, Incarnation { 1 });
+    EXPECT_EQ(route(data(syn(1, 1), secondTag, 100, 1))->upstream, UpstreamId { 2 });
+}
+
 // With a stale view, a SYN to an unknown entry is dropped, not reset: the VM may not have received the entry yet.
 TEST_F(TaggedRouterTest, ResetsUnknownEntriesOnlyWithAFreshView)
 {
