--- a/drivers/http_call.cpp
+++ b/drivers/http_call.cpp
@@ -80,6 +80,7 @@
             if (!self->done_) {
                 return;
             }
+            self->receivedBytes_ += bytes;
             self->advance(error ? self->reader_.finish()
                                 : self->reader_.feed(std::string_view(self->buffer_.data(), bytes)));
         });
--- a/drivers/http_call.h
+++ b/drivers/http_call.h
@@ -63,6 +63,9 @@
     /// Ends the call without a result; does nothing if it has ended.
     void abandon();
 
+    /// Bytes of the response that have arrived.
+    std::size_t receivedBytes() const { return receivedBytes_; }
+
 private:
     HttpCall(asio::io_context &context, const HttpCallLimits &limits, Done done);
 
@@ -82,6 +85,7 @@
     PlatformResponseReader reader_;
     Done done_;
     std::string request_;
+    std::size_t receivedBytes_ = 0;
     std::array<char, 16'384> buffer_ {};
 };
 
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 56> definitions { {
+constexpr std::array<MetricDefinition, 57> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_admission_limit", "Requests that this VM lets a service work on at once, by service.", perService },
@@ -27,6 +27,9 @@
     { "boragelug_catalogue_version", "Version of the catalogue in effect.", single },
     { "boragelug_directory_calls_total", "Calls to the directory.", single },
     { "boragelug_directory_failures_total", "Failed calls to the directory, by reason.", perReason },
+    { "boragelug_directory_listings_abandoned_total",
+      "Listings of the directory that were abandoned because they were slow.",
+      single },
     { "boragelug_directory_read_seconds", "Time of answers of the directory that don't wait for a change.", single },
     { "boragelug_entry_bytes_total", "Bytes forwarded, by entry.", perEntry },
     { "boragelug_entry_limit_share", "This VM's share of a limit, by entry and limit.", 5 * perEntry },
--- a/drivers/relay_codec.cpp
+++ b/drivers/relay_codec.cpp
@@ -192,6 +192,7 @@
     out.after = toWire(request.after.value);
     out.waitNanoseconds = request.wait.count();
     out.listening = toWire(request.listening);
+    out.__set_zoneName(request.zone);
     return write(out);
 }
 
@@ -235,7 +236,8 @@
     }
     return FollowRequest { .after = { fromWire(in->after) },
                            .wait = Duration(in->waitNanoseconds),
-                           .listening = fromWire(in->listening) };
+                           .listening = fromWire(in->listening),
+                           .zone = in->zoneName };
 }
 
 std::optional<DirectoryChanges> decodeRelayAnswer(std::span<const std::byte> bytes)
--- a/drivers/tcp_relay_directory.cpp
+++ b/drivers/tcp_relay_directory.cpp
@@ -24,17 +24,23 @@
         : relay_(relay)
         , socket_(context)
         , timer_(context)
+        , connectTimer_(context)
     { }
 
     const Endpoint &relay() const { return relay_; }
     bool isBroken() const { return broken_; }
+    /// Whether the call with this id is in progress.
+    bool hasCall(std::uint64_t id) const { return done_ && id_ == id; }
+    std::size_t receivedBytes() const { return receivedBytes_; }
 
-    void call(std::uint64_t id, Duration timeout, std::vector<std::byte> request, Done done)
+    void call(const DirectoryCall &call, std::vector<std::byte> request, Done done)
     {
+        const std::uint64_t id = call.id;
         id_ = id;
         done_ = std::move(done);
         out_ = std::move(request);
-        timer_.expires_after(timeout);
+        receivedBytes_ = 0;
+        timer_.expires_after(call.timeout);
         timer_.async_wait([self = shared_from_this(), id](const asio::error_code &error) {
             if (!error && id == self->id_) {
                 self->fail(DirectoryError::TimedOut, "no answer of the relay in time");
@@ -44,7 +50,16 @@
             send();
             return;
         }
+        if (call.connectTimeout > Duration::zero()) {
+            connectTimer_.expires_after(call.connectTimeout);
+            connectTimer_.async_wait([self = shared_from_this(), id](const asio::error_code &error) {
+                if (!error && id == self->id_) {
+                    self->fail(DirectoryError::Unreachable, "no connection to the relay in time");
+                }
+            });
+        }
         socket_.async_connect(toTcpEndpoint(relay_), [self = shared_from_this()](const asio::error_code &error) {
+            self->connectTimer_.cancel();
             if (error) {
                 self->fail(DirectoryError::Unreachable, error.message());
                 return;
@@ -61,6 +76,7 @@
         done_ = nullptr;
         asio::error_code ignored;
         timer_.cancel();
+        connectTimer_.cancel();
         socket_.close(ignored);
     }
 
@@ -103,6 +119,7 @@
                     self->fail(DirectoryError::Unreachable, error.message());
                     return;
                 }
+                self->receivedBytes_ = self->in_.size();
                 auto changes = decodeRelayAnswer(self->in_);
                 if (!changes) {
                     self->fail(DirectoryError::Malformed, "answer of the relay can't be read");
@@ -133,6 +150,8 @@
     Endpoint relay_;
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
+    asio::steady_timer connectTimer_;
+    std::size_t receivedBytes_ = 0;
     bool broken_ = false;
     std::uint64_t id_ = 0;
     Done done_;
@@ -141,9 +160,10 @@
     std::vector<std::byte> in_;
 };
 
-TcpRelayDirectory::TcpRelayDirectory(asio::io_context &context, const Endpoint &self)
+TcpRelayDirectory::TcpRelayDirectory(asio::io_context &context, const Endpoint &self, std::string zone)
     : context_(context)
     , self_(self)
+    , zone_(std::move(zone))
 { }
 
 TcpRelayDirectory::~TcpRelayDirectory()
@@ -161,8 +181,20 @@
         }
         connection_ = std::make_shared<Connection>(context_, call.relay);
     }
-    const FollowRequest request { .after = call.after, .wait = call.wait, .listening = self_ };
-    connection_->call(call.id, call.timeout, encodeRelayRequest(request), std::move(done));
+    const FollowRequest request { .after = call.after, .wait = call.wait, .listening = self_, .zone = zone_ };
+    connection_->call(call, encodeRelayRequest(request), std::move(done));
+}
+
+void TcpRelayDirectory::cancel(std::uint64_t callId)
+{
+    if (connection_ && connection_->hasCall(callId)) {
+        connection_->close();
+    }
+}
+
+std::size_t TcpRelayDirectory::receivedBytes(std::uint64_t callId) const
+{
+    return connection_ && connection_->hasCall(callId) ? connection_->receivedBytes() : 0;
 }
 
 } // namespace boragelug
--- a/drivers/tcp_relay_directory.h
+++ b/drivers/tcp_relay_directory.h
@@ -4,7 +4,10 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <string>
 
 namespace boragelug
 {
@@ -16,19 +19,23 @@
 class TcpRelayDirectory : public Directory
 {
 public:
-    /// @p self is told to the asked VM as the place where this one passes on. @p context must outlive the object.
-    TcpRelayDirectory(asio::io_context &context, const Endpoint &self);
+    /// @p self and @p zone tell the asked VM where this one serves its own followers. @p context must outlive the
+    /// object.
+    TcpRelayDirectory(asio::io_context &context, const Endpoint &self, std::string zone);
     ~TcpRelayDirectory() override;
     TcpRelayDirectory(const TcpRelayDirectory &) = delete;
     TcpRelayDirectory &operator=(const TcpRelayDirectory &) = delete;
 
     void call(const DirectoryCall &call, Done done) override;
+    void cancel(std::uint64_t callId) override;
+    std::size_t receivedBytes(std::uint64_t callId) const override;
 
 private:
     class Connection;
 
     asio::io_context &context_;
     Endpoint self_;
+    std::string zone_;
     std::shared_ptr<Connection> connection_;
 };
 
--- a/drivers/yaml_map.cpp
+++ b/drivers/yaml_map.cpp
@@ -355,6 +355,24 @@
     return number;
 }
 
+void YamlMap::decimal(std::string_view key, double &field, double least, double most, Presence presence)
+{
+    std::ostringstream valid;
+    valid << "a number from " << least << " to " << most;
+    const auto value = scalar(key, valid.str(), presence);
+    if (!value) {
+        return;
+    }
+    double number = 0;
+    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), number);
+    const bool isNumber = error == std::errc() && end == value->data() + value->size();
+    if (!isNumber || !(number >= least && number <= most)) {
+        fail(key, "must be " + valid.str() + ", not '" + printable(*value) + '\'');
+        return;
+    }
+    field = number;
+}
+
 std::optional<std::size_t>
 YamlMap::readChoice(std::string_view key, const std::vector<std::string_view> &valid, Presence presence)
 {
--- a/drivers/yaml_map.h
+++ b/drivers/yaml_map.h
@@ -66,6 +66,9 @@
         }
     }
 
+    /// Reads a number with or without a fraction, in [@p least, @p most].
+    void decimal(std::string_view key, double &field, double least, double most, Presence presence);
+
     /// Reads a name: 1 to 63 characters of a-z, 0-9, '-', '_' and '.', starting with a letter or digit.
     void name(std::string_view key, std::string &field, Presence presence);
 
--- a/drivers/yaml_tagged_settings.cpp
+++ b/drivers/yaml_tagged_settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t maxSettingsBytes = 64UL * 1024;
 constexpr std::size_t maxRelays = 16;
+constexpr double maxLinkMbps = 1e6;
 
 TaggedSettings readSettings(YamlMap &root)
 {
@@ -38,6 +39,7 @@
     root.duration("stop_grace", settings.stopGrace, 1s, 1h, Presence::Optional);
     root.duration("change_bound", settings.changeBound, 1s, 1min, Presence::Optional);
     root.duration("lapse_grace", settings.lapseGrace, 0s, 1min, Presence::Optional);
+    root.decimal("link_mbps", settings.linkMbps, 0, maxLinkMbps, Presence::Optional);
     root.number("event_entries", settings.eventRingEntries, 100, 1'000'000, Presence::Optional);
     root.number("flow_log_lines_per_second", settings.flowLogLinesPerSecond, 0, 10'000, Presence::Optional);
     root.choice("log_level", settings.logLevel, logLevelWords(), Presence::Optional);
--- a/gen/relay_types.cpp
+++ b/gen/relay_types.cpp
@@ -144,6 +144,11 @@
 void RelayRequest::__set_listening(const RelayEndpoint& val) {
   this->listening = val;
 }
+
+void RelayRequest::__set_zoneName(const std::string& val) {
+  this->zoneName = val;
+__isset.zoneName = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
   obj.printTo(out);
@@ -199,6 +204,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zoneName);
+          this->__isset.zoneName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -234,6 +247,11 @@
   xfer += this->listening.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.zoneName) {
+    xfer += oprot->writeFieldBegin("zoneName", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->zoneName);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -244,17 +262,23 @@
   swap(a.after, b.after);
   swap(a.waitNanoseconds, b.waitNanoseconds);
   swap(a.listening, b.listening);
+  swap(a.zoneName, b.zoneName);
+  swap(a.__isset, b.__isset);
 }
 
-RelayRequest::RelayRequest(const RelayRequest& other2) noexcept {
+RelayRequest::RelayRequest(const RelayRequest& other2) {
   after = other2.after;
   waitNanoseconds = other2.waitNanoseconds;
   listening = other2.listening;
+  zoneName = other2.zoneName;
+  __isset = other2.__isset;
 }
-RelayRequest& RelayRequest::operator=(const RelayRequest& other3) noexcept {
+RelayRequest& RelayRequest::operator=(const RelayRequest& other3) {
   after = other3.after;
   waitNanoseconds = other3.waitNanoseconds;
   listening = other3.listening;
+  zoneName = other3.zoneName;
+  __isset = other3.__isset;
   return *this;
 }
 void RelayRequest::printTo(std::ostream& out) const {
@@ -263,6 +287,7 @@
   out << "after=" << to_string(after);
   out << ", " << "waitNanoseconds=" << to_string(waitNanoseconds);
   out << ", " << "listening=" << to_string(listening);
+  out << ", " << "zoneName="; (__isset.zoneName ? (out << to_string(zoneName)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/relay_types.h
+++ b/gen/relay_types.h
@@ -80,15 +80,20 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayEndpoint& obj);
 
+typedef struct _RelayRequest__isset {
+  _RelayRequest__isset() : zoneName(false) {}
+  bool zoneName :1;
+} _RelayRequest__isset;
 
 class RelayRequest : public virtual ::apache::thrift::TBase {
  public:
 
-  RelayRequest(const RelayRequest&) noexcept;
-  RelayRequest& operator=(const RelayRequest&) noexcept;
+  RelayRequest(const RelayRequest&);
+  RelayRequest& operator=(const RelayRequest&);
   RelayRequest() noexcept
                : after(0),
-                 waitNanoseconds(0) {
+                 waitNanoseconds(0),
+                 zoneName() {
   }
 
   virtual ~RelayRequest() noexcept;
@@ -101,6 +106,12 @@
    * Where the sender passes on what it knows.
    */
   RelayEndpoint listening;
+  /**
+   * Availability zone of the sender.
+   */
+  std::string zoneName;
+
+  _RelayRequest__isset __isset;
 
   void __set_after(const int64_t val);
 
@@ -108,6 +119,8 @@
 
   void __set_listening(const RelayEndpoint& val);
 
+  void __set_zoneName(const std::string& val);
+
   bool operator == (const RelayRequest & rhs) const
   {
     if (!(after == rhs.after))
@@ -116,6 +129,10 @@
       return false;
     if (!(listening == rhs.listening))
       return false;
+    if (__isset.zoneName != rhs.__isset.zoneName)
+      return false;
+    else if (__isset.zoneName && !(zoneName == rhs.zoneName))
+      return false;
     return true;
   }
   bool operator != (const RelayRequest &rhs) const {
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -119,6 +119,9 @@
     bool mayBeStale = false;
     /// When the call is given up, counted from its start.
     Duration timeout {};
+    /// Follow: when the connection is given up, counted from the call's start; zero if only @c timeout applies. A VM
+    /// without power doesn't refuse connections.
+    Duration connectTimeout {};
 };
 
 /// One page of all records. Pages of one listing are no snapshot.
@@ -150,8 +153,9 @@
     DirectoryRevision after;
     /// How long the answer may wait for a change.
     Duration wait {};
-    /// Where the asking VM answers such requests itself.
+    /// Where the asking VM answers such requests itself, and its availability zone.
     Endpoint listening;
+    std::string zone;
 
     bool operator==(const FollowRequest &) const = default;
 };
--- a/model/tagged_settings.h
+++ b/model/tagged_settings.h
@@ -37,6 +37,8 @@
     Duration changeBound = std::chrono::seconds(3);
     /// How long records may take to come back after an outage of the directory.
     Duration lapseGrace = std::chrono::milliseconds(2500);
+    /// Bandwidth of the VM's network link in Mbit/s; 0 if unknown.
+    double linkMbps = 0;
     std::uint32_t eventRingEntries = 2000;
     std::uint32_t flowLogLinesPerSecond = 20;
     LogLevel logLevel = LogLevel::Info;
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -101,7 +101,9 @@
     , relay_(mirror_, reader_, settings.relay)
     , router_(settings.routing)
     , waiting_(settings.waiting)
+    , held_(settings.maxHeldPackets)
     , random_(settings.seed)
+    , start_(reader_.relays(), settings.start, random_)
     , placementSampler_(settings.flowLogLinesPerSecond)
     , problemSampler_(settings.flowLogLinesPerSecond)
 { }
@@ -114,7 +116,7 @@
     handleTickGap(now, events);
     lastPacket_ = now;
     const TaggedDecision decision =
-        isOutdatedSyn(packet, now) ? router_.dropSyn(TaggedRefusal::OutdatedSyn) : decide(packet, now, bytes);
+        isOutdatedSyn(packet, now) ? router_.dropSyn(TaggedRefusal::OutdatedSyn) : decide(packet, now, bytes, Duration::zero());
     appendDecisionEvent(packet, decision, std::nullopt, now, events);
     return decision;
 }
@@ -122,13 +124,13 @@
 // Another VM may have opened the flow at an entry or upstream whose record this VM has not received yet. Resetting a
 // late copy of the SYN would end that flow. So a SYN is reset only if the view is newer than the caller's first SYN: an
 // entry that the caller may use was listed by then.
-bool TaggedNode::mayReset(const FlowPacket &packet, TimePoint now) const
+bool TaggedNode::mayReset(const FlowPacket &packet, Duration waited, TimePoint now) const
 {
     if (!packet.syn) {
         return reader_.isFresh(now);
     }
     const auto age = reader_.staleness(now);
-    return age && *age <= router_.sinceFirstSyn(packet);
+    return age && *age <= waited + router_.sinceFirstSyn(packet);
 }
 
 // A SYN that waited during a suspension may have been sent long ago, and a copy of it may have opened the flow through
@@ -152,8 +154,12 @@
     resumedAt_ = now;
 }
 
-TaggedDecision TaggedNode::decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes)
+TaggedDecision
+TaggedNode::decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes, Duration waited)
 {
+    if (!view_ && held_.add(packet, bytes, now)) {
+        return QueuePacket {};
+    }
     // Pure acknowledgements of earlier answers are never queued.
     const bool isRequestPacket = packet.syn || packet.fin || packet.reset || packet.dataBytes > 0;
     if (isRequestPacket && !waiting_.empty() && waiting_.contains(packet)) {
@@ -163,7 +169,8 @@
         }
         waiting_.drop(packet);
     }
-    const TaggedDecision decision = router_.route(packet, mayReset(packet, now), now, !waiting_.isFull());
+    const TaggedDecision decision = router_.route(
+        packet, { .viewIsFresh = mayReset(packet, waited, now), .mayQueue = !waiting_.isFull(), .waited = waited }, now);
     if (const auto *queued = std::get_if<QueuePacket>(&decision)) {
         waiting_.add(queued->attributes, packet, bytes, now);
         ++waitedRequests_;
@@ -174,7 +181,10 @@
 std::vector<DequeuedPacket> TaggedNode::takeDequeued(TimePoint now, std::vector<NodeEvent> &events)
 {
     std::vector<DequeuedPacket> dequeued;
-    if (waiting_.empty()) {
+    if (view_ && !held_.empty()) {
+        routeHeld(now, dequeued);
+    }
+    if (waiting_.empty() && dequeued.empty()) {
         return dequeued;
     }
     for (const ServiceId service : waiting_.services()) {
@@ -203,10 +213,26 @@
     return dequeued;
 }
 
+void TaggedNode::routeHeld(TimePoint now, std::vector<DequeuedPacket> &dequeued)
+{
+    for (HeldPacket &held : held_.takeAll()) {
+        const Duration waited = now - held.arrivedAt;
+        const FlowPacket &head = held.packet.head;
+        // The caller has abandoned opening this flow.
+        const bool isExpired = head.syn
+            && waited + router_.sinceFirstSyn(head) >= settings_.routing.admission.openingTimeout;
+        const TaggedDecision decision =
+            isExpired ? router_.dropSyn(TaggedRefusal::NoView) : decide(head, now, held.packet.bytes, waited);
+        if (!std::holds_alternative<QueuePacket>(decision)) {
+            dequeued.push_back({ .packet = std::move(held.packet), .decision = decision, .waited = waited });
+        }
+    }
+}
+
 void TaggedNode::routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued)
 {
     for (WaitingPacket &packet : request.packets) {
-        TaggedDecision decision = router_.route(packet.head, mayReset(packet.head, now), now);
+        TaggedDecision decision = router_.route(packet.head, { .viewIsFresh = mayReset(packet.head, Duration::zero(), now) }, now);
         dequeued.push_back({ .packet = std::move(packet), .decision = decision, .waited = now - request.queuedAt });
     }
 }
@@ -259,10 +285,42 @@
 std::vector<NodeEvent> TaggedNode::handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now)
 {
     std::vector<NodeEvent> events;
+    const bool wasComplete = reader_.isComplete();
     const ReaderOutcome outcome = reader_.handleAnswer(answer, now, random_);
     appendReaderEvents(outcome, now, events);
-    appendChanges(outcome.changes, events);
+    // The records of the first listing are reported as one number, in ProcessReady: a line for each would delay the
+    // start.
+    if (wasComplete) {
+        appendChanges(outcome.changes, events);
+    }
     publish(now);
+    endStart(events);
+    return events;
+}
+
+std::vector<NodeEvent> TaggedNode::handleStartAnswer(const DirectoryAnswer &answer, TimePoint now)
+{
+    std::vector<NodeEvent> events;
+    const RelayStart::Result result = start_.handleAnswer(answer, now);
+    if (!result.failure.empty()) {
+        reader_.listAtOnce(now);
+    }
+    if (result.records && reader_.adoptRecords(result.relay, *result.records, now, random_)) {
+        events.push_back({ .number = EventNumber::RelayFollowed,
+                           .causeId = 0,
+                           .fields = { { "relay", toString(result.relay) }, { "view_age_ms", viewAgeText(now) } } });
+        publish(now);
+    }
+    endStart(events);
+    return events;
+}
+
+void TaggedNode::endStart(std::vector<NodeEvent> &events)
+{
+    if (!reader_.isComplete()) {
+        return;
+    }
+    start_.stop();
     if (isReady() && !wasReady_) {
         wasReady_ = true;
         events.push_back({ .number = EventNumber::ProcessReady,
@@ -270,7 +328,6 @@
                            .fields = { { "catalogue", std::to_string(view_->version.value) },
                                        { "upstreams", std::to_string(view_->upstreams.size()) } } });
     }
-    return events;
 }
 
 void TaggedNode::handleFollower(FollowerId follower, const FollowRequest &request, TimePoint now)
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -5,11 +5,13 @@
 #include "model/directory_record.h"
 #include "model/flow_packet.h"
 #include "node/node_action.h"
+#include "routing/held_packets.h"
 #include "routing/tagged_router.h"
 #include "routing/waiting_requests.h"
 #include "views/directory_mirror.h"
 #include "views/directory_reader.h"
 #include "views/directory_relay.h"
+#include "views/relay_start.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -27,9 +29,12 @@
 {
     MirrorSettings mirror;
     ReaderSettings reader;
+    RelayStartSettings start;
     RelaySettings relay;
     TaggedRouterSettings routing;
     WaitingSettings waiting;
+    /// Limit of packets that are held until the first view.
+    std::size_t maxHeldPackets = 2000;
     /// A longer gap between ticks counts as a suspension of the process, after which its state is outdated.
     Duration suspensionThreshold = std::chrono::seconds(1);
     /// Packets that are read within this time after a suspension may have waited in the socket meanwhile.
@@ -66,7 +71,8 @@
     explicit TaggedNode(const TaggedNodeSettings &settings);
 
     /// Decides on one packet of a caller; appends the events of the decision to @p events. If the decision is a
-    /// QueuePacket, the node keeps a copy of @p bytes, which takeDequeued() returns later.
+    /// QueuePacket, the node keeps a copy of @p bytes, which takeDequeued() returns later. Before the first view, all
+    /// packets are queued.
     TaggedDecision handlePacket(const FlowPacket &packet,
                                 TimePoint now,
                                 std::vector<NodeEvent> &events,
@@ -90,6 +96,22 @@
     /// When nextCall() is due; std::nullopt while a call is in progress.
     std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
 
+    /// Calls to a relay for all records, while the VM has none: nextStartCall() and nextStartCallAt() are used like
+    /// nextCall() and nextCallAt(), and the answers go to handleStartAnswer().
+    std::optional<DirectoryCall> nextStartCall(TimePoint now) { return start_.nextCall(now); }
+    std::optional<TimePoint> nextStartCallAt() const { return start_.nextCallAt(); }
+    std::vector<NodeEvent> handleStartAnswer(const DirectoryAnswer &answer, TimePoint now);
+
+    /// When to call abandonsListing(); std::nullopt if no call in progress can be abandoned.
+    std::optional<TimePoint> listingCheckAt() const { return reader_.listingCheckAt(); }
+
+    /// Whether the listing in progress, of whose answer @p receivedBytes have arrived, is abandoned and has to be
+    /// cancelled. Precondition: listingCheckAt() has a value.
+    bool abandonsListing(std::size_t receivedBytes, TimePoint now)
+    {
+        return reader_.abandonsListing(receivedBytes, now, random_);
+    }
+
     /// Replaces the relays from which this VM may get directory changes.
     void setRelays(std::vector<Endpoint> relays) { reader_.setRelays(std::move(relays)); }
 
@@ -122,6 +144,9 @@
     /// Whether the drain has ended, so that the process may exit.
     bool isDrained(TimePoint now) const;
 
+    /// Whether the VM has no complete records yet.
+    bool isStarting() const { return !reader_.isComplete(); }
+
     /// Whether the VM takes new flows.
     bool isReady() const { return reader_.isComplete() && !drainStart_; }
 
@@ -140,10 +165,14 @@
 
 private:
     void publish(TimePoint now);
-    bool mayReset(const FlowPacket &packet, TimePoint now) const;
+    void endStart(std::vector<NodeEvent> &events);
+    void routeHeld(TimePoint now, std::vector<DequeuedPacket> &dequeued);
+    /// @p waited is the time that the packet was held before the first view.
+    bool mayReset(const FlowPacket &packet, Duration waited, TimePoint now) const;
     bool isOutdatedSyn(const FlowPacket &packet, TimePoint now) const;
     void handleTickGap(TimePoint now, std::vector<NodeEvent> &events);
-    TaggedDecision decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes);
+    TaggedDecision
+    decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes, Duration waited);
     void routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued);
     void appendDecisionEvent(const FlowPacket &packet,
                              const TaggedDecision &decision,
@@ -161,8 +190,10 @@
     DirectoryRelay relay_;
     TaggedRouter router_;
     WaitingRequests waiting_;
+    HeldPackets held_;
     std::uint64_t waitedRequests_ = 0;
     Random random_;
+    RelayStart start_;
     std::shared_ptr<const DirectoryView> view_;
     FlowSampler placementSampler_;
     /// Events other than first placements have a budget of their own.
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -191,7 +191,7 @@
     std::optional<TcpRelayDirectory> relays;
     std::optional<TcpRelayListener> relayListener;
     if (settings->relayEndpoint) {
-        relays.emplace(runtime.context(), *settings->relayEndpoint);
+        relays.emplace(runtime.context(), *settings->relayEndpoint, settings->zone);
         relayListener.emplace(runtime.context(), *settings->relayEndpoint, metrics);
     }
     TaggedProcess process({ .runtime = runtime,
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -44,6 +44,8 @@
         out.reader.follow.relays = settings.relays;
         out.reader.follow.self = *settings.relayEndpoint;
     }
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    out.reader.listing.linkBandwidth = settings.linkMbps * bytesPerMegabit;
     out.routing.propagationDelay = out.reader.batchingDelay + settleMargin;
     // A record that comes back late is read at the latest with the next up-to-date answer.
     out.routing.unlistedTimeoutUnanswered = settings.lapseGrace;
@@ -75,7 +77,12 @@
     , node_(nodeSettings(settings, incarnation))
     , admin_(settings_, incarnation, node_, parts.events, parts.runtime.clock(), parts.metrics)
     , adminServer_(parts.runtime.context(), admin_, parts.runtime.clock(), parts.metrics)
-    , callTimer_(parts.runtime.context())
+    , directoryCalls_(parts.runtime,
+                      node_,
+                      parts.directory,
+                      parts.relays,
+                      parts.metrics,
+                      [this](std::vector<NodeEvent> events) { handleDirectoryEvents(std::move(events)); })
 {
     startAdminServer(adminServer_, settings.adminEndpoint);
     if (settings.metricsEndpoint) {
@@ -97,7 +104,7 @@
     parts_.runtime.onSignal(SIGINT, [this] { handleStopSignal(); });
     parts_.runtime.onSignal(SIGHUP, [this] { reloadSettings(); });
     listenToFollowers();
-    callDirectory();
+    directoryCalls_.start();
     parts_.fabric.start(
         [this](const FlowPacket &head, std::span<const std::byte> packet) { receivePacket(head, packet); });
     parts_.logBuffer.drain();
@@ -144,41 +151,14 @@
     }
 }
 
-void TaggedProcess::callDirectory()
+void TaggedProcess::handleDirectoryEvents(std::vector<NodeEvent> events)
 {
-    if (const auto call = node_.nextCall(now())) {
-        const bool follows = call->kind == DirectoryCall::Kind::Follow;
-        parts_.metrics.add(follows ? "boragelug_relay_calls_total" : "boragelug_directory_calls_total", 1, {});
-        const TimePoint startedAt = now();
-        const Duration wait = call->wait;
-        Directory &directory = follows ? *parts_.relays : parts_.directory;
-        directory.call(*call, [this, startedAt, wait](const DirectoryAnswer &answer) {
-            if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
-                parts_.metrics.add("boragelug_directory_failures_total", 1, { { "reason", failure->detail } });
-            } else if (wait == Duration::zero()) {
-                const std::chrono::duration<double> seconds = now() - startedAt;
-                parts_.metrics.observe("boragelug_directory_read_seconds", seconds.count(), {});
-            }
-            record(node_.handleDirectoryAnswer(answer, now()));
-            answerFollowers();
-            callDirectory();
-        });
-    }
-    scheduleCall();
-}
-
-void TaggedProcess::scheduleCall()
-{
-    const auto at = node_.nextCallAt();
-    if (!at) {
-        return;
-    }
-    callTimer_.expires_after(std::max(*at - now(), Duration::zero()));
-    callTimer_.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            callDirectory();
-        }
-    });
+    record(std::move(events));
+    answerFollowers();
+    // The first view releases the packets that were held.
+    packetEvents_.clear();
+    releasePackets();
+    record(std::move(packetEvents_));
 }
 
 void TaggedProcess::listenToFollowers()
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -7,14 +7,13 @@
 #include "drivers/log_buffer.h"
 #include "model/tagged_settings.h"
 #include "node/tagged_node.h"
+#include "programs/directory_calls.h"
 #include "programs/tagged_admin.h"
 #include "servers/directory.h"
 #include "servers/flow_fabric.h"
 #include "servers/reachability_probe.h"
 #include "servers/relay_listener.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 #include <optional>
 #include <span>
@@ -62,8 +61,7 @@
     void carryOut(const TaggedDecision &decision, const FlowPacket &head, std::span<const std::byte> packet);
     void releasePackets();
     void checkUpstreams();
-    void callDirectory();
-    void scheduleCall();
+    void handleDirectoryEvents(std::vector<NodeEvent> events);
     void listenToFollowers();
     void answerFollowers();
     void tick();
@@ -80,7 +78,7 @@
     TaggedAdmin admin_;
     AdminServer adminServer_;
     std::optional<AdminServer> metricsServer_;
-    asio::steady_timer callTimer_;
+    DirectoryCalls directoryCalls_;
     std::vector<NodeEvent> packetEvents_;
 };
 
--- /dev/null
+++ b/routing/held_packets.cpp
@@ -0,0 +1,28 @@
+#include "routing/held_packets.h"
+
+#include <utility>
+
+namespace boragelug
+{
+
+bool HeldPackets::add(const FlowPacket &head, std::span<const std::byte> bytes, TimePoint now)
+{
+    const Identity identity { head.caller, head.entry, head.sequence, head.dataBytes, head.syn, head.fin };
+    if (positions_.contains(identity)) {
+        return true;
+    }
+    if (packets_.size() >= maxPackets_) {
+        return false;
+    }
+    positions_.emplace(identity, packets_.size());
+    packets_.push_back({ .packet = { .head = head, .bytes = { bytes.begin(), bytes.end() } }, .arrivedAt = now });
+    return true;
+}
+
+std::vector<HeldPacket> HeldPackets::takeAll()
+{
+    positions_.clear();
+    return std::exchange(packets_, {});
+}
+
+} // namespace boragelug
--- a/routing/tagged_admission.cpp
+++ b/routing/tagged_admission.cpp
@@ -5,8 +5,8 @@
 {
 
 // Data of a flow with a request in progress is part of that request, which was forwarded already, so it isn't queued.
-std::optional<QueuePacket>
-TaggedRouter::queueIfAtLimit(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now)
+std::optional<QueuePacket> TaggedRouter::queueIfAtLimit(
+    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, Duration waited, TimePoint now)
 {
     if (packet.dataBytes == 0) {
         return std::nullopt;
@@ -19,7 +19,7 @@
     if (!startsRequest) {
         return std::nullopt;
     }
-    const WaitingRequestAttributes attributes = waitingRequestAttributes(packet, entry, service, !hasRecord, now);
+    const WaitingRequestAttributes attributes = waitingRequestAttributes(packet, entry, service, !hasRecord, now - waited);
     return isBelowLimit(service, now >= attributes.lateAt, now) ? std::nullopt
                                                                 : std::optional(queueDecision(attributes));
 }
@@ -42,11 +42,11 @@
 }
 
 WaitingRequestAttributes TaggedRouter::waitingRequestAttributes(
-    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint now) const
+    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint arrivedAt) const
 {
     const AdmissionSettings &settings = settings_.admission;
     WaitingRequestAttributes attributes {
-        .service = service, .sentAt = now, .lateAt = {}, .expiresAt = {}, .priority = entry.priority
+        .service = service, .sentAt = arrivedAt, .lateAt = {}, .expiresAt = {}, .priority = entry.priority
     };
     if (packet.syn) {
         attributes.sentAt -= sinceFirstSyn(packet);
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -150,29 +150,30 @@
         && isNear(packet.acknowledged, flow.acknowledged, maxSequenceGap);
 }
 
-TaggedDecision TaggedRouter::route(const FlowPacket &packet, bool viewIsFresh, TimePoint now, bool mayQueue)
+TaggedDecision TaggedRouter::route(const FlowPacket &packet, const RouteOptions &options, TimePoint now)
 {
     if (!view_) {
         return refuse(TaggedRefusal::NoView, false);
     }
     const DirectoryEntry *entry = findEntry(packet.entry);
     if (entry == nullptr) {
-        return refuse(TaggedRefusal::UnknownEntry, viewIsFresh && packet.syn);
+        return refuse(TaggedRefusal::UnknownEntry, options.viewIsFresh && packet.syn);
     }
     if (packet.syn) {
-        return routeSyn(packet, *entry, viewIsFresh, now, mayQueue);
+        return routeSyn(packet, *entry, options, now);
     }
     const auto upstream = findUpstream(packet, *entry);
     if (!upstream) {
         return refuse(byTag_.contains(packet.tag) ? TaggedRefusal::ForeignTag : TaggedRefusal::UnknownTag, false);
     }
-    if (mayQueue) {
-        if (const auto queued = queueIfAtLimit(packet, *entry, upstream->status.upstream.service, now)) {
+    if (options.mayQueue) {
+        const ServiceId service = upstream->status.upstream.service;
+        if (const auto queued = queueIfAtLimit(packet, *entry, service, options.waited, now)) {
             return *queued;
         }
     }
     const bool unanswered = track(packet, *entry, upstream, now);
-    const auto reset = viewIsFresh ? resetReason(packet, *entry, *upstream, unanswered, now) : std::nullopt;
+    const auto reset = options.viewIsFresh ? resetReason(packet, *entry, *upstream, unanswered, now) : std::nullopt;
     if (reset) {
         discardFlow(packet);
         ++counters_.resets.at(static_cast<std::size_t>(*reset));
@@ -186,16 +187,17 @@
 }
 
 TaggedDecision TaggedRouter::routeSyn(
-    const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayQueue)
+    const FlowPacket &packet, const DirectoryEntry &entry, const RouteOptions &options, TimePoint now)
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
     if (found == flows_.end() || found->second.synSequence != packet.sequence) {
         const ServiceId service = serviceOf(entry, packet);
-        const WaitingRequestAttributes attributes = waitingRequestAttributes(packet, entry, service, false, now);
-        if (mayQueue && placeable_.contains(service) && !isBelowLimit(service, now >= attributes.lateAt, now)) {
+        const WaitingRequestAttributes attributes =
+            waitingRequestAttributes(packet, entry, service, false, now - options.waited);
+        if (options.mayQueue && placeable_.contains(service) && !isBelowLimit(service, now >= attributes.lateAt, now)) {
             return queueDecision(attributes);
         }
-        return place(packet, entry, PlacementReason::First, viewIsFresh, now);
+        return place(packet, entry, PlacementReason::First, options.viewIsFresh, now);
     }
     Flow &flow = found->second;
     const bool sameUpstream = flow.phase != FlowPhase::Opening || now - flow.synSentAt < settings_.queuedSynWindow;
@@ -210,7 +212,7 @@
     }
     countUnanswered(*flow.upstream, now);
     flow.tried = { flow.upstream->status.upstream.id, flow.tried.front() };
-    return place(packet, entry, PlacementReason::OtherAfterNoAnswer, viewIsFresh, now);
+    return place(packet, entry, PlacementReason::OtherAfterNoAnswer, options.viewIsFresh, now);
 }
 
 PlacementCandidate TaggedRouter::placementCandidate(const TrackedUpstream &upstream, TimePoint now) const
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -112,6 +112,17 @@
 
 using TaggedDecision = std::variant<ForwardPacket, ResetFlow, DropPacket, QueuePacket>;
 
+/// Circumstances of a packet that is routed.
+struct RouteOptions
+{
+    /// The view is recent enough that a flow may be reset because of it.
+    bool viewIsFresh = false;
+    /// The packet can be queued while its service is at its concurrency limit.
+    bool mayQueue = false;
+    /// Time that the packet was held before it is routed.
+    Duration waited {};
+};
+
 /// Counters since the start of a TaggedRouter.
 struct TaggedCounters
 {
@@ -168,9 +179,8 @@
     /// Replaces the view. Precondition: @p view isn't null.
     void applyView(std::shared_ptr<const DirectoryView> view, TimePoint now);
 
-    /// Decides on one packet. @p viewIsFresh says whether the view is recent enough that a flow may be reset because of
-    /// it, and @p mayQueue whether the packet can be queued while its service is at its concurrency limit.
-    TaggedDecision route(const FlowPacket &packet, bool viewIsFresh, TimePoint now, bool mayQueue = false);
+    /// Decides on one packet.
+    TaggedDecision route(const FlowPacket &packet, const RouteOptions &options, TimePoint now);
 
     /// Time since the caller sent the first SYN of the flow, estimated from FlowPacket::synCopies.
     Duration sinceFirstSyn(const FlowPacket &syn) const;
@@ -241,15 +251,16 @@
     std::shared_ptr<TrackedUpstream> findUpstream(const FlowPacket &packet, const DirectoryEntry &entry) const;
     static bool continues(const Flow &flow, const FlowPacket &packet);
     TaggedDecision
-    routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now, bool mayQueue);
-    std::optional<QueuePacket>
-    queueIfAtLimit(const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, TimePoint now);
-    /// Attributes of the request that @p packet starts; @p unknownFlow says that this VM has no record of its flow.
+    routeSyn(const FlowPacket &packet, const DirectoryEntry &entry, const RouteOptions &options, TimePoint now);
+    std::optional<QueuePacket> queueIfAtLimit(
+        const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, Duration waited, TimePoint now);
+    /// Attributes of the request that @p packet starts, which arrived at @p arrivedAt; @p unknownFlow says that this VM
+    /// has no record of its flow.
     WaitingRequestAttributes waitingRequestAttributes(const FlowPacket &packet,
                                                       const DirectoryEntry &entry,
                                                       ServiceId service,
                                                       bool unknownFlow,
-                                                      TimePoint now) const;
+                                                      TimePoint arrivedAt) const;
     QueuePacket queueDecision(const WaitingRequestAttributes &attributes);
     ServiceAdmission &admission(ServiceId service);
     double localSlots(ServiceId service) const;
--- a/servers/directory.h
+++ b/servers/directory.h
@@ -2,6 +2,8 @@
 
 #include "model/directory_record.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 
 namespace boragelug
@@ -22,6 +24,12 @@
 
     /// Starts @p call and returns at once; it ends with records or a failure within the call's timeout.
     virtual void call(const DirectoryCall &call, Done done) = 0;
+
+    /// Ends the call with this id without an answer; does nothing if it has ended.
+    virtual void cancel(std::uint64_t callId) = 0;
+
+    /// Bytes of the call's answer that have arrived; 0 if the call has ended.
+    virtual std::size_t receivedBytes(std::uint64_t callId) const = 0;
 };
 
 } // namespace boragelug
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -15,6 +15,8 @@
   2: required i64 waitNanoseconds
   /** Where the sender passes on what it knows. */
   3: required RelayEndpoint listening
+  /** Availability zone of the sender. */
+  4: optional string zoneName
 }
 
 struct RelayUpstream {
--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -59,9 +59,11 @@
     std::vector<MirrorChange> changes;
     std::vector<std::pair<std::string, DirectoryRevision>> missing;
     for (const auto &[key, known] : upstreams_) {
-        if (!listedRevisions_.contains(key) && known.status.listing == Listing::Listed) {
+        // A later record than the listing was written after it began, and the watch reports its removal.
+        const bool isCovered = known.revision <= listedAsOf_;
+        if (isCovered && !listedRevisions_.contains(key) && known.status.listing == Listing::Listed) {
             // Followers have the record's last revision already, so its removal needs the listing's later revision.
-            missing.emplace_back(key, std::max(known.revision, listedAsOf_));
+            missing.emplace_back(key, listedAsOf_);
         }
     }
     for (const auto &[key, revision] : missing) {
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -42,6 +42,11 @@
 
 std::optional<DirectoryCall> DirectoryReader::nextCall(TimePoint now)
 {
+    if (!wasAsked_) {
+        wasAsked_ = true;
+        // Relays, whose records all VMs need, list at once.
+        nextAt_ = isRelay_ || settings_.follow.relays.empty() ? now : now + settings_.follow.relayHeadStart;
+    }
     if (inProgress_ || now < nextAt_) {
         return std::nullopt;
     }
@@ -53,13 +58,10 @@
     return inProgress_;
 }
 
-// A relay reads the directory itself. It asks another relay only while it has no records and the directory fails.
+// A relay reads the directory itself.
 bool DirectoryReader::mayFollow(TimePoint now) const
 {
-    if (settings_.follow.relays.empty() || now < followAt_) {
-        return false;
-    }
-    return listed_ ? canWatch_ && !isRelay_ : failures_ > 0;
+    return listed_ && canWatch_ && !isRelay_ && !settings_.follow.relays.empty() && now >= followAt_;
 }
 
 DirectoryCall DirectoryReader::makeFollow(TimePoint now)
@@ -74,8 +76,8 @@
     call.id = ++lastId_;
     call.kind = DirectoryCall::Kind::Follow;
     call.relay = *relay_;
-    call.after = listed_ ? watchFrom_ : DirectoryRevision {};
-    call.wait = listed_ ? settings_.follow.followWait : Duration::zero();
+    call.after = watchFrom_;
+    call.wait = settings_.follow.followWait;
     call.timeout = call.wait + settings_.follow.answerMargin;
     return call;
 }
@@ -92,8 +94,8 @@
     call.id = ++lastId_;
     call.kind = DirectoryCall::Kind::List;
     call.afterKey = afterKey_;
-    const bool mayAskRelay = !listed_ && failures_ == 0 && !settings_.follow.relays.empty();
-    call.timeout = mayAskRelay ? settings_.follow.firstListTimeout : settings_.answerMargin;
+    call.timeout = settings_.answerMargin;
+    checkAt_ = now + settings_.listing.checkInterval;
     return call;
 }
 
@@ -180,8 +182,7 @@
         relay_ = changes.elsewhere;
         return;
     }
-    const Duration maxStaleness = listed_ ? settings_.follow.maxStaleness : settings_.follow.maxInitialStaleness;
-    if (changes.elsewhere || changes.age > maxStaleness) {
+    if (changes.elsewhere || changes.age > settings_.follow.maxStaleness) {
         const std::string reason =
             changes.elsewhere ? "referred to another VM too often" : "records of the relay are too stale";
         handleFollowFailure(call, reason, now, random, outcome);
@@ -191,20 +192,95 @@
         mirror_.recordOutage(now - *changes.sinceOutage);
     }
     outcome.changes = mirror_.applyChanges(changes, now);
-    if (!listed_ && mirror_.hasCatalogue()) {
-        listed_ = true;
-        canWatch_ = true;
-        mirror_.markComplete();
+    recordRelayAnswer(changes, now);
+    if (!following_) {
+        outcome.followedRelay = call.relay;
     }
+    following_ = true;
+}
+
+void DirectoryReader::recordRelayAnswer(const DirectoryChanges &changes, TimePoint now)
+{
     watchFrom_ = std::max(watchFrom_, changes.asOf);
     const TimePoint relayUpToDateAt = now - changes.age;
     lastAnswer_ = std::max(lastAnswer_.value_or(relayUpToDateAt), relayUpToDateAt);
     confirmedAt_ = std::max(confirmedAt_.value_or(relayUpToDateAt), relayUpToDateAt);
     upToDateAt_ = std::max(upToDateAt_.value_or(relayUpToDateAt), relayUpToDateAt);
-    if (!following_) {
-        outcome.followedRelay = call.relay;
+}
+
+void DirectoryReader::listAtOnce(TimePoint now)
+{
+    if (!listed_ && !inProgress_ && failures_ == 0 && abandoned_ == 0) {
+        nextAt_ = std::min(nextAt_, now);
     }
-    following_ = true;
+}
+
+bool DirectoryReader::adoptRecords(const Endpoint &relay,
+                                   const DirectoryChanges &records,
+                                   TimePoint now,
+                                   Random &random)
+{
+    const bool listingIsSlow =
+        failures_ > 0 || (inProgress_ && now - startedAt_ >= settings_.follow.firstListTimeout);
+    const Duration maxStaleness =
+        listingIsSlow ? settings_.follow.maxInitialStaleness : settings_.follow.maxStaleness;
+    if (listed_ || records.age > maxStaleness) {
+        return false;
+    }
+    if (records.sinceOutage) {
+        mirror_.recordOutage(now - *records.sinceOutage);
+    }
+    // A listing that did not end may have left records that were removed since.
+    mirror_.beginListing(records.asOf);
+    mirror_.applyPage({ .items = records.items, .more = false, .lastKey = {}, .asOf = records.asOf }, now);
+    mirror_.endListing(now);
+    if (!mirror_.hasCatalogue()) {
+        return false;
+    }
+    watchFrom_ = {};
+    recordRelayAnswer(records, now);
+    listed_ = true;
+    canWatch_ = true;
+    firstPage_ = true;
+    afterKey_.clear();
+    inProgress_.reset();
+    // VMs that started together don't all ask the first relay at once. A VM that a relay referred to another one stays
+    // there.
+    const std::chrono::duration<double, std::nano> pause = settings_.follow.followWait;
+    nextAt_ = now + std::chrono::duration_cast<Duration>(pause * random.unit());
+    const auto &relays = settings_.follow.relays;
+    if (std::find(relays.begin(), relays.end(), relay) == relays.end()) {
+        relay_ = relay;
+    }
+    return true;
+}
+
+std::optional<TimePoint> DirectoryReader::listingCheckAt() const
+{
+    const bool isListing = inProgress_ && inProgress_->kind == DirectoryCall::Kind::List;
+    const bool mayAbandon = !listed_ && !isRelay_ && !settings_.follow.relays.empty();
+    return isListing && mayAbandon && settings_.listing.linkBandwidth > 0 ? std::optional(checkAt_) : std::nullopt;
+}
+
+bool DirectoryReader::abandonsListing(std::size_t receivedBytes, TimePoint now, Random &random)
+{
+    checkAt_ = now + settings_.listing.checkInterval;
+    const std::chrono::duration<double> elapsed = now - startedAt_;
+    const double possibleBytes = settings_.listing.linkBandwidth * elapsed.count();
+    const double fraction = possibleBytes > 0 ? static_cast<double>(receivedBytes) / possibleBytes : 1;
+    if (random.chance(fraction / settings_.listing.minLinkFraction)) {
+        return false;
+    }
+    ++abandoned_;
+    inProgress_.reset();
+    const std::chrono::duration<double, std::nano> delay = settings_.listing.retryDelay;
+    nextAt_ = now + std::chrono::duration_cast<Duration>(delay * (0.5 + random.unit()));
+    return true;
+}
+
+std::optional<std::uint64_t> DirectoryReader::callInProgress() const
+{
+    return inProgress_ ? std::optional(inProgress_->id) : std::nullopt;
 }
 
 void DirectoryReader::handleFailure(const DirectoryFailure &failure,
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -4,6 +4,7 @@
 #include "model/directory_record.h"
 #include "views/directory_mirror.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,9 +33,11 @@
     /// Maximum staleness for a VM that has no records yet and can't reach the directory: serving flows by old records
     /// is better than not serving them.
     Duration maxInitialStaleness = std::chrono::seconds(30);
-    /// Timeout of the first listing call, after which a VM without records asks a relay: 60 times the usual response
-    /// time of the directory.
+    /// How long the first listing may take until stale records of a relay are accepted instead: 60 times the usual
+    /// response time of the directory.
     Duration firstListTimeout = std::chrono::milliseconds(250);
+    /// Time that relays have to send all records to a VM without any, before it lists the directory.
+    Duration relayHeadStart = std::chrono::milliseconds(100);
     /// Mean time after a relay failed until a relay is asked again; the VM reads the directory itself meanwhile.
     Duration failureBackoff = std::chrono::seconds(2);
     /// Maximum number of referrals to another VM that are followed after a relay was chosen from the list. One more
@@ -46,6 +49,21 @@
     Duration relayBatchingDelay = std::chrono::milliseconds(250);
 };
 
+/// When a VM without records abandons a listing because too many VMs list at the same time: each then gets a small part
+/// of the directory's bandwidth, so that none completes soon. Those that go on complete early and relay the records.
+struct ListingSettings
+{
+    /// Bandwidth of this VM's network link in bytes a second; 0 if unknown, then no listing is abandoned.
+    double linkBandwidth = 0;
+    /// Interval at which the progress of a listing is checked.
+    Duration checkInterval = std::chrono::milliseconds(100);
+    /// A listing that gets at least this fraction of the link's bandwidth continues. With less it continues with a
+    /// probability in proportion to what it got, so that those that remain can use their links fully.
+    double minLinkFraction = 0.5;
+    /// Mean time until an abandoned listing is started again.
+    Duration retryDelay = std::chrono::milliseconds(600);
+};
+
 /// Timeouts and delays of a DirectoryReader.
 struct ReaderSettings
 {
@@ -65,6 +83,7 @@
     Duration initialBackoff = std::chrono::milliseconds(100);
     Duration maxBackoff = std::chrono::milliseconds(800);
     FollowSettings follow;
+    ListingSettings listing;
 };
 
 /// Effects of one answer.
@@ -100,6 +119,9 @@
     /// Replaces the list of relays.
     void setRelays(std::vector<Endpoint> relays);
 
+    /// The relays without this VM.
+    const std::vector<Endpoint> &relays() const { return settings_.follow.relays; }
+
     /// Relays after this VM in the list of relays, which serve followers beyond its limit; empty if this VM isn't a
     /// relay.
     const std::vector<Endpoint> &overflowRelays() const { return overflowRelays_; }
@@ -116,6 +138,23 @@
     /// Takes the answer to the call in progress; answers to other calls are ignored.
     ReaderOutcome handleAnswer(const DirectoryAnswer &answer, TimePoint now, Random &random);
 
+    /// Starts the first listing without waiting for relays.
+    void listAtOnce(TimePoint now);
+
+    /// Takes all records of a relay in place of a listing. Returns false, and takes nothing, if this VM has all records
+    /// already, or if those of the relay are too stale.
+    bool adoptRecords(const Endpoint &relay, const DirectoryChanges &records, TimePoint now, Random &random);
+
+    /// When to call abandonsListing(); std::nullopt if no call in progress can be abandoned.
+    std::optional<TimePoint> listingCheckAt() const;
+
+    /// Whether the listing in progress, of whose answer @p receivedBytes have arrived, is abandoned. If so, the caller
+    /// has to cancel the call. Precondition: listingCheckAt() has a value.
+    bool abandonsListing(std::size_t receivedBytes, TimePoint now, Random &random);
+
+    /// Id of the call in progress; std::nullopt if there is none.
+    std::optional<std::uint64_t> callInProgress() const;
+
     /// Handles a suspension of the process: the records may be stale, so the next call is due at once.
     void handleSuspension(TimePoint now);
 
@@ -144,6 +183,7 @@
     DirectoryCall makeWatch(TimePoint now);
     DirectoryCall makeFollow(TimePoint now);
     bool mayFollow(TimePoint now) const;
+    void recordRelayAnswer(const DirectoryChanges &changes, TimePoint now);
     void handleFollowFailure(
         const DirectoryCall &call, std::string reason, TimePoint now, Random &random, ReaderOutcome &outcome);
     void handleFollowAnswer(const DirectoryCall &call,
@@ -160,6 +200,11 @@
     std::optional<DirectoryCall> inProgress_;
     TimePoint startedAt_;
     TimePoint nextAt_;
+    /// Next check of the listing in progress.
+    TimePoint checkAt_;
+    bool wasAsked_ = false;
+    /// Listings that were abandoned.
+    std::uint32_t abandoned_ = 0;
     std::uint64_t lastId_ = 0;
     /// The mirror has received all records at least once.
     bool listed_ = false;
--- a/views/directory_relay.h
+++ b/views/directory_relay.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -71,17 +72,23 @@
         DirectoryRevision checkedRevision;
     };
 
+    struct Follower
+    {
+        TimePoint lastRequest;
+        std::string zone;
+    };
+
     bool acceptsFollower(const Endpoint &listening) const;
-    /// Precondition: there is a follower.
-    Endpoint randomFollower(Random &random) const;
+    /// The VM that a follower beyond the limit is referred to. Precondition: there is a follower.
+    Endpoint referral(const FollowRequest &request, Random &random) const;
     DirectoryChanges makeAnswer(const FollowRequest &request, TimePoint now) const;
 
     const DirectoryMirror &mirror_;
     const DirectoryReader &reader_;
     RelaySettings settings_;
     std::map<FollowerId, Waiting> waiting_;
-    /// Time of each follower's last request, by the address at which it serves its own followers.
-    std::map<Endpoint, TimePoint> followers_;
+    /// By the address at which they serve their own followers.
+    std::map<Endpoint, Follower> followers_;
 };
 
 } // namespace boragelug
--- /dev/null
+++ b/views/relay_start.cpp
@@ -0,0 +1,82 @@
+#include "views/relay_start.h"
+
+#include <utility>
+
+namespace boragelug
+{
+
+RelayStart::RelayStart(std::vector<Endpoint> relays, const RelayStartSettings &settings, Random &random)
+    : relays_(std::move(relays))
+    , settings_(settings)
+    , hasFailed_(relays_.empty())
+    , stopped_(relays_.empty())
+{
+    if (!relays_.empty()) {
+        nextRelay_ = random.below(relays_.size());
+    }
+}
+
+std::optional<DirectoryCall> RelayStart::nextCall(TimePoint now)
+{
+    if (stopped_ || inProgress_ || now < nextAt_) {
+        return std::nullopt;
+    }
+    DirectoryCall call;
+    call.id = ++lastId_;
+    call.kind = DirectoryCall::Kind::Follow;
+    call.relay = referral_.value_or(relays_[nextRelay_]);
+    call.wait = settings_.wait;
+    call.timeout = settings_.wait + settings_.transferTime;
+    call.connectTimeout = settings_.connectTimeout;
+    inProgress_ = call;
+    return call;
+}
+
+std::optional<TimePoint> RelayStart::nextCallAt() const
+{
+    return stopped_ || inProgress_ ? std::nullopt : std::optional(nextAt_);
+}
+
+void RelayStart::fail(const std::string &reason, TimePoint now, Result &result)
+{
+    hasFailed_ = true;
+    result.failure = reason;
+    referral_.reset();
+    hops_ = 0;
+    nextRelay_ = (nextRelay_ + 1) % relays_.size();
+    nextAt_ = now;
+    if (++failuresInTurn_ >= relays_.size()) {
+        failuresInTurn_ = 0;
+        nextAt_ = now + settings_.retryInterval;
+    }
+}
+
+RelayStart::Result RelayStart::handleAnswer(const DirectoryAnswer &answer, TimePoint now)
+{
+    Result result;
+    if (!inProgress_ || inProgress_->id != answer.callId) {
+        return result;
+    }
+    result.relay = inProgress_->relay;
+    const auto *changes = std::get_if<DirectoryChanges>(&answer.result);
+    if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
+        fail(failure->detail, now, result);
+    } else if (changes == nullptr) {
+        fail("answer of the relay is not a list of changes", now, result);
+    } else if (changes->elsewhere && hops_ < settings_.maxHops) {
+        ++hops_;
+        referral_ = changes->elsewhere;
+        nextAt_ = now;
+    } else if (changes->elsewhere) {
+        fail("referred to another VM too often", now, result);
+    } else if (changes->items.empty()) {
+        fail("the relay has no records", now, result);
+    } else {
+        result.records = *changes;
+        nextAt_ = now + settings_.wait;
+    }
+    inProgress_.reset();
+    return result;
+}
+
+} // namespace boragelug
