--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,6 +1,7 @@
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 find_package(absl CONFIG REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
--- a/drivers/relay_codec.cpp
+++ b/drivers/relay_codec.cpp
@@ -1,11 +1,13 @@
 #include "drivers/relay_codec.h"
 
 #include "drivers/byte_order.h"
+#include "drivers/packed_bytes.h"
 #include "gen/relay_types.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -20,20 +22,22 @@
 using apache::thrift::transport::TMemoryBuffer;
 
 template<class Message>
-std::vector<std::byte> write(const Message &message)
+std::string serialize(const Message &message)
 {
     const auto buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocolT<TMemoryBuffer> protocol(buffer);
     message.write(&protocol);
-    std::uint8_t *data = nullptr;
-    std::uint32_t size = 0;
-    buffer->getBuffer(&data, &size);
+    return buffer->getBufferAsString();
+}
+
+std::vector<std::byte> withLength(const std::string &message)
+{
     std::vector<std::byte> out;
-    out.reserve(relayLengthBytes + size);
+    out.reserve(relayLengthBytes + message.size());
     for (std::size_t i = 0; i < relayLengthBytes; ++i) {
-        out.push_back(static_cast<std::byte>((size >> (8 * (relayLengthBytes - 1 - i))) & 0xFFU));
+        out.push_back(static_cast<std::byte>((message.size() >> (8 * (relayLengthBytes - 1 - i))) & 0xFFU));
     }
-    const auto bytes = std::as_bytes(std::span(data, size));
+    const auto bytes = std::as_bytes(std::span(message));
     out.insert(out.end(), bytes.begin(), bytes.end());
     return out;
 }
@@ -145,6 +149,26 @@
     return entry;
 }
 
+wire::RelayCatalogue toWire(const DirectoryItem &item, const CatalogueDelta &delta)
+{
+    wire::RelayCatalogue out;
+    out.key = item.key;
+    out.revision = toWire(item.revision.value);
+    out.version = toWire(delta.version.value);
+    out.__set_baseVersion(toWire(delta.base.value));
+    for (const EntryRecord &entry : delta.changed) {
+        out.entries.push_back(toWire(entry));
+    }
+    out.__isset.removed = true;
+    for (const Endpoint &address : delta.removed) {
+        out.removed.push_back(toWire(address));
+    }
+    if (delta.flowIdleTimeout) {
+        out.__set_flowIdleNanoseconds(delta.flowIdleTimeout->count());
+    }
+    return out;
+}
+
 wire::RelayCatalogue toWire(const DirectoryItem &item, const CatalogueRecord &record)
 {
     wire::RelayCatalogue out;
@@ -164,62 +188,121 @@
 /// Nothing if an entry has no service to go to.
 std::optional<DirectoryItem> fromWire(const wire::RelayCatalogue &in)
 {
-    CatalogueRecord record;
-    record.version = CatalogueVersion { fromWire(in.version) };
-    record.entries.reserve(in.entries.size());
+    std::vector<EntryRecord> entries;
+    entries.reserve(in.entries.size());
     for (const wire::RelayEntry &entry : in.entries) {
-        record.entries.push_back(fromWire(entry));
-        if (record.entries.back().services.empty()) {
+        entries.push_back(fromWire(entry));
+        const auto &services = entries.back().services;
+        const auto hasNoWeight = [](const ServiceShare &share) { return share.weight == 0; };
+        if (services.empty() || std::any_of(services.begin(), services.end(), hasNoWeight)) {
             return std::nullopt;
         }
-        for (const ServiceShare &share : record.entries.back().services) {
-            if (share.weight == 0) {
-                return std::nullopt;
-            }
-        }
     }
+    std::optional<Duration> flowIdleTimeout;
     if (in.__isset.flowIdleNanoseconds) {
-        record.flowIdleTimeout = Duration(in.flowIdleNanoseconds);
+        flowIdleTimeout = Duration(in.flowIdleNanoseconds);
     }
-    return DirectoryItem { .key = in.key, .revision = { fromWire(in.revision) }, .content = std::move(record) };
+    const CatalogueVersion version { fromWire(in.version) };
+    DirectoryItem item { .key = in.key, .revision = { fromWire(in.revision) }, .content = RemovedRecord {} };
+    if (!in.__isset.baseVersion) {
+        item.content = CatalogueRecord { .version = version,
+                                         .entries = std::move(entries),
+                                         .flowIdleTimeout = flowIdleTimeout };
+        return item;
+    }
+    CatalogueDelta delta { .base = { fromWire(in.baseVersion) },
+                           .version = version,
+                           .changed = std::move(entries),
+                           .removed = {},
+                           .flowIdleTimeout = flowIdleTimeout };
+    for (const wire::RelayEndpoint &address : in.removed) {
+        delta.removed.push_back(fromWire(address));
+    }
+    item.content = std::move(delta);
+    return item;
+}
+
+/// Adds @p items to the lists of a RelayRecords or RelayAnswer.
+template<class Lists>
+void addRecords(const std::vector<DirectoryItem> &items, Lists &out)
+{
+    for (const DirectoryItem &item : items) {
+        if (const auto *upstream = std::get_if<UpstreamRecord>(&item.content)) {
+            out.upstreams.push_back(toWire(item, *upstream));
+        } else if (const auto *catalogue = std::get_if<CatalogueRecord>(&item.content)) {
+            out.__set_catalogue(toWire(item, *catalogue));
+        } else if (const auto *delta = std::get_if<CatalogueDelta>(&item.content)) {
+            out.__set_catalogue(toWire(item, *delta));
+        } else {
+            wire::RelayRemoval removal;
+            removal.key = item.key;
+            removal.revision = toWire(item.revision.value);
+            out.removals.push_back(std::move(removal));
+        }
+    }
+}
+
+/// Appends the records of a RelayRecords or RelayAnswer to @p items; false if one is invalid.
+template<class Lists>
+bool takeRecords(const Lists &in, std::vector<DirectoryItem> &items)
+{
+    if (in.__isset.catalogue) {
+        auto catalogue = fromWire(in.catalogue);
+        if (!catalogue) {
+            return false;
+        }
+        items.push_back(std::move(*catalogue));
+    }
+    for (const wire::RelayUpstream &upstream : in.upstreams) {
+        items.push_back(fromWire(upstream));
+    }
+    for (const wire::RelayRemoval &removal : in.removals) {
+        items.push_back({ .key = removal.key, .revision = { fromWire(removal.revision) }, .content = RemovedRecord {} });
+    }
+    return true;
 }
 
 } // namespace
 
-std::vector<std::byte> encodeRelayRequest(const FollowRequest &request)
+std::string packRelayRecords(const std::vector<DirectoryItem> &records)
 {
+    wire::RelayRecords out;
+    addRecords(records, out);
+    return packBytes(serialize(out));
+}
+
+std::vector<std::byte> encodeRelayRequest(const RelayRequestMessage &message)
+{
+    const FollowRequest &request = message.request;
     wire::RelayRequest out;
     out.after = toWire(request.after.value);
     out.waitNanoseconds = request.wait.count();
     out.listening = toWire(request.listening);
     out.__set_zoneName(request.zone);
-    return write(out);
+    out.__set_catalogueVersion(toWire(request.catalogue.value));
+    out.__set_acceptsPacked(message.acceptsPacked);
+    out.__set_requestId(toWire(message.id));
+    return withLength(serialize(out));
 }
 
-std::vector<std::byte> encodeRelayAnswer(const DirectoryChanges &changes)
+std::vector<std::byte> encodeRelayAnswer(const RelayAnswerMessage &message, const std::string &packedRecords)
 {
+    const DirectoryChanges &changes = message.changes;
     wire::RelayAnswer out;
     out.asOf = toWire(changes.asOf.value);
     out.ageNanoseconds = changes.age.count();
+    out.__set_requestId(toWire(message.requestId));
     if (changes.sinceOutage) {
         out.__set_outageNanoseconds(changes.sinceOutage->count());
     }
     if (changes.elsewhere) {
         out.__set_elsewhere(toWire(*changes.elsewhere));
     }
-    for (const DirectoryItem &item : changes.items) {
-        if (const auto *upstream = std::get_if<UpstreamRecord>(&item.content)) {
-            out.upstreams.push_back(toWire(item, *upstream));
-        } else if (const auto *catalogue = std::get_if<CatalogueRecord>(&item.content)) {
-            out.__set_catalogue(toWire(item, *catalogue));
-        } else {
-            wire::RelayRemoval removal;
-            removal.key = item.key;
-            removal.revision = toWire(item.revision.value);
-            out.removals.push_back(std::move(removal));
-        }
+    addRecords(changes.items, out);
+    if (!packedRecords.empty()) {
+        out.__set_packed(packedRecords);
     }
-    return write(out);
+    return withLength(serialize(out));
 }
 
 std::optional<std::size_t> decodeRelayLength(std::span<const std::byte, relayLengthBytes> bytes)
@@ -228,25 +311,30 @@
     return length <= maxRelayMessage ? std::optional<std::size_t>(length) : std::nullopt;
 }
 
-std::optional<FollowRequest> decodeRelayRequest(std::span<const std::byte> bytes)
+std::optional<RelayRequestMessage> decodeRelayRequest(std::span<const std::byte> bytes)
 {
     const auto in = read<wire::RelayRequest>(bytes);
     if (!in || in->waitNanoseconds < 0) {
         return std::nullopt;
     }
-    return FollowRequest { .after = { fromWire(in->after) },
-                           .wait = Duration(in->waitNanoseconds),
-                           .listening = fromWire(in->listening),
-                           .zone = in->zoneName };
+    return RelayRequestMessage { .request = { .after = { fromWire(in->after) },
+                                              .catalogue = { fromWire(in->catalogueVersion) },
+                                              .wait = Duration(in->waitNanoseconds),
+                                              .listening = fromWire(in->listening),
+                                              .zone = in->zoneName },
+                                 .id = fromWire(in->requestId),
+                                 .acceptsPacked = in->acceptsPacked };
 }
 
-std::optional<DirectoryChanges> decodeRelayAnswer(std::span<const std::byte> bytes)
+std::optional<RelayAnswerMessage> decodeRelayAnswer(std::span<const std::byte> bytes)
 {
     const auto in = read<wire::RelayAnswer>(bytes);
     if (!in || in->ageNanoseconds < 0) {
         return std::nullopt;
     }
-    DirectoryChanges changes;
+    RelayAnswerMessage message;
+    message.requestId = fromWire(in->requestId);
+    DirectoryChanges &changes = message.changes;
     changes.asOf = DirectoryRevision { fromWire(in->asOf) };
     changes.age = Duration(in->ageNanoseconds);
     if (in->__isset.outageNanoseconds) {
@@ -255,21 +343,15 @@
     if (in->__isset.elsewhere) {
         changes.elsewhere = fromWire(in->elsewhere);
     }
-    if (in->__isset.catalogue) {
-        auto catalogue = fromWire(in->catalogue);
-        if (!catalogue) {
-            return std::nullopt;
-        }
-        changes.items.push_back(std::move(*catalogue));
-    }
-    for (const wire::RelayUpstream &upstream : in->upstreams) {
-        changes.items.push_back(fromWire(upstream));
+    if (!takeRecords(*in, changes.items)) {
+        return std::nullopt;
     }
-    for (const wire::RelayRemoval &removal : in->removals) {
-        changes.items.push_back(
-            { .key = removal.key, .revision = { fromWire(removal.revision) }, .content = RemovedRecord {} });
+    if (!in->__isset.packed) {
+        return message;
     }
-    return changes;
+    const auto unpacked = unpackBytes(in->packed, maxRelayMessage);
+    const auto records = unpacked ? read<wire::RelayRecords>(std::as_bytes(std::span(*unpacked))) : std::nullopt;
+    return records && takeRecords(*records, changes.items) ? std::optional(std::move(message)) : std::nullopt;
 }
 
 } // namespace boragelug
--- a/drivers/tcp_relay_directory.cpp
+++ b/drivers/tcp_relay_directory.cpp
@@ -120,13 +120,17 @@
                     return;
                 }
                 self->receivedBytes_ = self->in_.size();
-                auto changes = decodeRelayAnswer(self->in_);
-                if (!changes) {
+                auto answer = decodeRelayAnswer(self->in_);
+                if (!answer) {
                     self->fail(DirectoryError::Malformed, "answer of the relay can't be read");
                     return;
                 }
+                if (answer->requestId != 0 && answer->requestId != self->id_) {
+                    self->fail(DirectoryError::Malformed, "answer of the relay belongs to another request");
+                    return;
+                }
                 self->timer_.cancel();
-                self->end({ .callId = self->id_, .result = std::move(*changes) });
+                self->end({ .callId = self->id_, .result = std::move(answer->changes) });
             });
     }
 
@@ -181,8 +185,14 @@
         }
         connection_ = std::make_shared<Connection>(context_, call.relay);
     }
-    const FollowRequest request { .after = call.after, .wait = call.wait, .listening = self_, .zone = zone_ };
-    connection_->call(call, encodeRelayRequest(request), std::move(done));
+    const RelayRequestMessage message { .request = { .after = call.after,
+                                                     .catalogue = call.catalogue,
+                                                     .wait = call.wait,
+                                                     .listening = self_,
+                                                     .zone = zone_ },
+                                        .id = call.id,
+                                        .acceptsPacked = true };
+    connection_->call(call, encodeRelayRequest(message), std::move(done));
 }
 
 void TcpRelayDirectory::cancel(std::uint64_t callId)
--- a/drivers/tcp_relay_listener.cpp
+++ b/drivers/tcp_relay_listener.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -52,6 +53,10 @@
             });
     }
 
+    /// The request that waits for its answer; std::nullopt if there is none. A second answer to a request would be taken
+    /// for that of the next one.
+    std::optional<RelayRequestMessage> takeRequest() { return std::exchange(lastRequest_, std::nullopt); }
+
     void send(std::vector<std::byte> bytes)
     {
         out_ = std::move(bytes);
@@ -93,7 +98,8 @@
                 if (!request) {
                     self->end();
                 } else if (*self->ownerAlive_) {
-                    self->owner_.callbacks_.onRequest(self->id_, *request);
+                    self->lastRequest_ = *request;
+                    self->owner_.callbacks_.onRequest(self->id_, request->request);
                 }
             });
     }
@@ -111,6 +117,8 @@
     FollowerId id_;
     TcpRelayListener &owner_;
     std::shared_ptr<bool> ownerAlive_;
+    /// The request that waits for its answer.
+    std::optional<RelayRequestMessage> lastRequest_;
     std::array<std::byte, relayLengthBytes> length_ {};
     std::vector<std::byte> in_;
     std::vector<std::byte> out_;
@@ -161,12 +169,24 @@
     callbacks_.onGone(follower);
 }
 
-void TcpRelayListener::answer(FollowerId follower, const DirectoryChanges &changes)
+void TcpRelayListener::answer(const RelayAnswer &answer)
 {
-    const auto found = connections_.find(follower);
-    if (found != connections_.end()) {
-        found->second->send(encodeRelayAnswer(changes));
+    const auto found = connections_.find(answer.follower);
+    const auto request = found != connections_.end() ? found->second->takeRequest() : std::nullopt;
+    if (!request) {
+        return;
+    }
+    RelayAnswerMessage message { .changes = answer.changes, .requestId = request->id };
+    if (answer.records && !request->acceptsPacked) {
+        message.changes.items = *answer.records;
+        found->second->send(encodeRelayAnswer(message));
+        return;
+    }
+    if (answer.records && answer.records != packedFrom_) {
+        packedFrom_ = answer.records;
+        packed_ = packRelayRecords(*answer.records);
     }
+    found->second->send(encodeRelayAnswer(message, answer.records ? packed_ : std::string()));
 }
 
 Endpoint TcpRelayListener::localEndpoint() const
--- a/drivers/tcp_relay_listener.h
+++ b/drivers/tcp_relay_listener.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <string>
 
 namespace boragelug
 {
@@ -18,8 +19,9 @@
 class TcpRelayListener : public RelayListener
 {
 public:
-    /// Connections at the same time: the followers, and as many that are only told whom to ask.
-    static constexpr std::size_t maxConnections = 128;
+    /// Connections at the same time: the followers, and those that are referred to other VMs. A relay gets a third of a
+    /// zone's or fleet's VMs at once when they start.
+    static constexpr std::size_t maxConnections = 512;
 
     /// Listens on @p local; port 0 lets the kernel choose. Throws asio::system_error if that fails. @p metrics must
     /// outlive the listener.
@@ -29,7 +31,7 @@
     TcpRelayListener &operator=(const TcpRelayListener &) = delete;
 
     void start(Callbacks callbacks) override;
-    void answer(FollowerId follower, const DirectoryChanges &changes) override;
+    void answer(const RelayAnswer &answer) override;
 
     Endpoint localEndpoint() const;
 
@@ -44,6 +46,9 @@
     Callbacks callbacks_;
     std::uint64_t lastId_ = 0;
     std::map<FollowerId, std::shared_ptr<Connection>> connections_;
+    /// The records that were packed last, as most followers get the same ones.
+    SharedRecords packedFrom_;
+    std::string packed_;
     /// Ends callbacks that outlive the listener.
     std::shared_ptr<bool> alive_;
 };
--- a/gen/relay_types.cpp
+++ b/gen/relay_types.cpp
@@ -149,6 +149,21 @@
   this->zoneName = val;
 __isset.zoneName = true;
 }
+
+void RelayRequest::__set_catalogueVersion(const int64_t val) {
+  this->catalogueVersion = val;
+__isset.catalogueVersion = true;
+}
+
+void RelayRequest::__set_acceptsPacked(const bool val) {
+  this->acceptsPacked = val;
+__isset.acceptsPacked = true;
+}
+
+void RelayRequest::__set_requestId(const int64_t val) {
+  this->requestId = val;
+__isset.requestId = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
   obj.printTo(out);
@@ -212,6 +227,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->catalogueVersion);
+          this->__isset.catalogueVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsPacked);
+          this->__isset.acceptsPacked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -252,6 +291,21 @@
     xfer += oprot->writeString(this->zoneName);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.catalogueVersion) {
+    xfer += oprot->writeFieldBegin("catalogueVersion", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->catalogueVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.acceptsPacked) {
+    xfer += oprot->writeFieldBegin("acceptsPacked", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->acceptsPacked);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requestId) {
+    xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->requestId);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -263,6 +317,9 @@
   swap(a.waitNanoseconds, b.waitNanoseconds);
   swap(a.listening, b.listening);
   swap(a.zoneName, b.zoneName);
+  swap(a.catalogueVersion, b.catalogueVersion);
+  swap(a.acceptsPacked, b.acceptsPacked);
+  swap(a.requestId, b.requestId);
   swap(a.__isset, b.__isset);
 }
 
@@ -271,6 +328,9 @@
   waitNanoseconds = other2.waitNanoseconds;
   listening = other2.listening;
   zoneName = other2.zoneName;
+  catalogueVersion = other2.catalogueVersion;
+  acceptsPacked = other2.acceptsPacked;
+  requestId = other2.requestId;
   __isset = other2.__isset;
 }
 RelayRequest& RelayRequest::operator=(const RelayRequest& other3) {
@@ -278,6 +338,9 @@
   waitNanoseconds = other3.waitNanoseconds;
   listening = other3.listening;
   zoneName = other3.zoneName;
+  catalogueVersion = other3.catalogueVersion;
+  acceptsPacked = other3.acceptsPacked;
+  requestId = other3.requestId;
   __isset = other3.__isset;
   return *this;
 }
@@ -288,6 +351,9 @@
   out << ", " << "waitNanoseconds=" << to_string(waitNanoseconds);
   out << ", " << "listening=" << to_string(listening);
   out << ", " << "zoneName="; (__isset.zoneName ? (out << to_string(zoneName)) : (out << "<null>"));
+  out << ", " << "catalogueVersion="; (__isset.catalogueVersion ? (out << to_string(catalogueVersion)) : (out << "<null>"));
+  out << ", " << "acceptsPacked="; (__isset.acceptsPacked ? (out << to_string(acceptsPacked)) : (out << "<null>"));
+  out << ", " << "requestId="; (__isset.requestId ? (out << to_string(requestId)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1095,6 +1161,16 @@
   this->flowIdleNanoseconds = val;
 __isset.flowIdleNanoseconds = true;
 }
+
+void RelayCatalogue::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+__isset.baseVersion = true;
+}
+
+void RelayCatalogue::__set_removed(const std::vector<RelayEndpoint> & val) {
+  this->removed = val;
+__isset.removed = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayCatalogue& obj)
 {
   obj.printTo(out);
@@ -1179,6 +1255,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->removed.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += this->removed[_i27].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1219,10 +1323,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<RelayEntry> ::const_iterator _iter23;
-    for (_iter23 = this->entries.begin(); _iter23 != this->entries.end(); ++_iter23)
+    std::vector<RelayEntry> ::const_iterator _iter28;
+    for (_iter28 = this->entries.begin(); _iter28 != this->entries.end(); ++_iter28)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1233,6 +1337,24 @@
     xfer += oprot->writeI64(this->flowIdleNanoseconds);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.baseVersion) {
+    xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->baseVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removed) {
+    xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+      std::vector<RelayEndpoint> ::const_iterator _iter29;
+      for (_iter29 = this->removed.begin(); _iter29 != this->removed.end(); ++_iter29)
+      {
+        xfer += (*_iter29).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1245,24 +1367,30 @@
   swap(a.version, b.version);
   swap(a.entries, b.entries);
   swap(a.flowIdleNanoseconds, b.flowIdleNanoseconds);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.removed, b.removed);
   swap(a.__isset, b.__isset);
 }
 
-RelayCatalogue::RelayCatalogue(const RelayCatalogue& other24) {
-  key = other24.key;
-  revision = other24.revision;
-  version = other24.version;
-  entries = other24.entries;
-  flowIdleNanoseconds = other24.flowIdleNanoseconds;
-  __isset = other24.__isset;
-}
-RelayCatalogue& RelayCatalogue::operator=(const RelayCatalogue& other25) {
-  key = other25.key;
-  revision = other25.revision;
-  version = other25.version;
-  entries = other25.entries;
-  flowIdleNanoseconds = other25.flowIdleNanoseconds;
-  __isset = other25.__isset;
+RelayCatalogue::RelayCatalogue(const RelayCatalogue& other30) {
+  key = other30.key;
+  revision = other30.revision;
+  version = other30.version;
+  entries = other30.entries;
+  flowIdleNanoseconds = other30.flowIdleNanoseconds;
+  baseVersion = other30.baseVersion;
+  removed = other30.removed;
+  __isset = other30.__isset;
+}
+RelayCatalogue& RelayCatalogue::operator=(const RelayCatalogue& other31) {
+  key = other31.key;
+  revision = other31.revision;
+  version = other31.version;
+  entries = other31.entries;
+  flowIdleNanoseconds = other31.flowIdleNanoseconds;
+  baseVersion = other31.baseVersion;
+  removed = other31.removed;
+  __isset = other31.__isset;
   return *this;
 }
 void RelayCatalogue::printTo(std::ostream& out) const {
@@ -1273,6 +1401,188 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "flowIdleNanoseconds="; (__isset.flowIdleNanoseconds ? (out << to_string(flowIdleNanoseconds)) : (out << "<null>"));
+  out << ", " << "baseVersion="; (__isset.baseVersion ? (out << to_string(baseVersion)) : (out << "<null>"));
+  out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RelayRecords::~RelayRecords() noexcept {
+}
+
+
+void RelayRecords::__set_upstreams(const std::vector<RelayUpstream> & val) {
+  this->upstreams = val;
+}
+
+void RelayRecords::__set_removals(const std::vector<RelayRemoval> & val) {
+  this->removals = val;
+}
+
+void RelayRecords::__set_catalogue(const RelayCatalogue& val) {
+  this->catalogue = val;
+__isset.catalogue = true;
+}
+std::ostream& operator<<(std::ostream& out, const RelayRecords& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayRecords::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstreams = false;
+  bool isset_removals = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->upstreams.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += this->upstreams[_i36].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removals.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->removals.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->removals[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_removals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->catalogue.read(iprot);
+          this->__isset.catalogue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removals)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RelayRecords::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayRecords");
+
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<RelayUpstream> ::const_iterator _iter42;
+    for (_iter42 = this->upstreams.begin(); _iter42 != this->upstreams.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
+    std::vector<RelayRemoval> ::const_iterator _iter43;
+    for (_iter43 = this->removals.begin(); _iter43 != this->removals.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.catalogue) {
+    xfer += oprot->writeFieldBegin("catalogue", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->catalogue.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayRecords &a, RelayRecords &b) {
+  using ::std::swap;
+  swap(a.upstreams, b.upstreams);
+  swap(a.removals, b.removals);
+  swap(a.catalogue, b.catalogue);
+  swap(a.__isset, b.__isset);
+}
+
+RelayRecords::RelayRecords(const RelayRecords& other44) {
+  upstreams = other44.upstreams;
+  removals = other44.removals;
+  catalogue = other44.catalogue;
+  __isset = other44.__isset;
+}
+RelayRecords& RelayRecords::operator=(const RelayRecords& other45) {
+  upstreams = other45.upstreams;
+  removals = other45.removals;
+  catalogue = other45.catalogue;
+  __isset = other45.__isset;
+  return *this;
+}
+void RelayRecords::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayRecords(";
+  out << "upstreams=" << to_string(upstreams);
+  out << ", " << "removals=" << to_string(removals);
+  out << ", " << "catalogue="; (__isset.catalogue ? (out << to_string(catalogue)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1311,6 +1621,16 @@
   this->elsewhere = val;
 __isset.elsewhere = true;
 }
+
+void RelayAnswer::__set_packed(const std::string& val) {
+  this->packed = val;
+__isset.packed = true;
+}
+
+void RelayAnswer::__set_requestId(const int64_t val) {
+  this->requestId = val;
+__isset.requestId = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
   obj.printTo(out);
@@ -1371,14 +1691,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->upstreams.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->upstreams.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->upstreams[_i30].read(iprot);
+              xfer += this->upstreams[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1391,14 +1711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->removals.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->removals.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->removals[_i35].read(iprot);
+              xfer += this->removals[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1423,6 +1743,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packed);
+          this->__isset.packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1464,10 +1800,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<RelayUpstream> ::const_iterator _iter36;
-    for (_iter36 = this->upstreams.begin(); _iter36 != this->upstreams.end(); ++_iter36)
+    std::vector<RelayUpstream> ::const_iterator _iter56;
+    for (_iter56 = this->upstreams.begin(); _iter56 != this->upstreams.end(); ++_iter56)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1476,10 +1812,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RelayRemoval> ::const_iterator _iter37;
-    for (_iter37 = this->removals.begin(); _iter37 != this->removals.end(); ++_iter37)
+    std::vector<RelayRemoval> ::const_iterator _iter57;
+    for (_iter57 = this->removals.begin(); _iter57 != this->removals.end(); ++_iter57)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1495,6 +1831,16 @@
     xfer += this->elsewhere.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.packed) {
+    xfer += oprot->writeFieldBegin("packed", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeBinary(this->packed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requestId) {
+    xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->requestId);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1509,28 +1855,34 @@
   swap(a.removals, b.removals);
   swap(a.catalogue, b.catalogue);
   swap(a.elsewhere, b.elsewhere);
+  swap(a.packed, b.packed);
+  swap(a.requestId, b.requestId);
   swap(a.__isset, b.__isset);
 }
 
-RelayAnswer::RelayAnswer(const RelayAnswer& other38) {
-  asOf = other38.asOf;
-  ageNanoseconds = other38.ageNanoseconds;
-  outageNanoseconds = other38.outageNanoseconds;
-  upstreams = other38.upstreams;
-  removals = other38.removals;
-  catalogue = other38.catalogue;
-  elsewhere = other38.elsewhere;
-  __isset = other38.__isset;
-}
-RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other39) {
-  asOf = other39.asOf;
-  ageNanoseconds = other39.ageNanoseconds;
-  outageNanoseconds = other39.outageNanoseconds;
-  upstreams = other39.upstreams;
-  removals = other39.removals;
-  catalogue = other39.catalogue;
-  elsewhere = other39.elsewhere;
-  __isset = other39.__isset;
+RelayAnswer::RelayAnswer(const RelayAnswer& other58) {
+  asOf = other58.asOf;
+  ageNanoseconds = other58.ageNanoseconds;
+  outageNanoseconds = other58.outageNanoseconds;
+  upstreams = other58.upstreams;
+  removals = other58.removals;
+  catalogue = other58.catalogue;
+  elsewhere = other58.elsewhere;
+  packed = other58.packed;
+  requestId = other58.requestId;
+  __isset = other58.__isset;
+}
+RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other59) {
+  asOf = other59.asOf;
+  ageNanoseconds = other59.ageNanoseconds;
+  outageNanoseconds = other59.outageNanoseconds;
+  upstreams = other59.upstreams;
+  removals = other59.removals;
+  catalogue = other59.catalogue;
+  elsewhere = other59.elsewhere;
+  packed = other59.packed;
+  requestId = other59.requestId;
+  __isset = other59.__isset;
   return *this;
 }
 void RelayAnswer::printTo(std::ostream& out) const {
@@ -1543,6 +1895,8 @@
   out << ", " << "removals=" << to_string(removals);
   out << ", " << "catalogue="; (__isset.catalogue ? (out << to_string(catalogue)) : (out << "<null>"));
   out << ", " << "elsewhere="; (__isset.elsewhere ? (out << to_string(elsewhere)) : (out << "<null>"));
+  out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
+  out << ", " << "requestId="; (__isset.requestId ? (out << to_string(requestId)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/relay_types.h
+++ b/gen/relay_types.h
@@ -35,6 +35,8 @@
 
 class RelayCatalogue;
 
+class RelayRecords;
+
 class RelayAnswer;
 
 
@@ -81,8 +83,11 @@
 std::ostream& operator<<(std::ostream& out, const RelayEndpoint& obj);
 
 typedef struct _RelayRequest__isset {
-  _RelayRequest__isset() : zoneName(false) {}
+  _RelayRequest__isset() : zoneName(false), catalogueVersion(false), acceptsPacked(false), requestId(false) {}
   bool zoneName :1;
+  bool catalogueVersion :1;
+  bool acceptsPacked :1;
+  bool requestId :1;
 } _RelayRequest__isset;
 
 class RelayRequest : public virtual ::apache::thrift::TBase {
@@ -93,7 +98,10 @@
   RelayRequest() noexcept
                : after(0),
                  waitNanoseconds(0),
-                 zoneName() {
+                 zoneName(),
+                 catalogueVersion(0),
+                 acceptsPacked(0),
+                 requestId(0) {
   }
 
   virtual ~RelayRequest() noexcept;
@@ -110,6 +118,18 @@
    * Availability zone of the sender.
    */
   std::string zoneName;
+  /**
+   * Version of the catalogue that the sender has.
+   */
+  int64_t catalogueVersion;
+  /**
+   * The sender reads RelayAnswer.packed.
+   */
+  bool acceptsPacked;
+  /**
+   * Returned with the answer.
+   */
+  int64_t requestId;
 
   _RelayRequest__isset __isset;
 
@@ -121,6 +141,12 @@
 
   void __set_zoneName(const std::string& val);
 
+  void __set_catalogueVersion(const int64_t val);
+
+  void __set_acceptsPacked(const bool val);
+
+  void __set_requestId(const int64_t val);
+
   bool operator == (const RelayRequest & rhs) const
   {
     if (!(after == rhs.after))
@@ -133,6 +159,18 @@
       return false;
     else if (__isset.zoneName && !(zoneName == rhs.zoneName))
       return false;
+    if (__isset.catalogueVersion != rhs.__isset.catalogueVersion)
+      return false;
+    else if (__isset.catalogueVersion && !(catalogueVersion == rhs.catalogueVersion))
+      return false;
+    if (__isset.acceptsPacked != rhs.__isset.acceptsPacked)
+      return false;
+    else if (__isset.acceptsPacked && !(acceptsPacked == rhs.acceptsPacked))
+      return false;
+    if (__isset.requestId != rhs.__isset.requestId)
+      return false;
+    else if (__isset.requestId && !(requestId == rhs.requestId))
+      return false;
     return true;
   }
   bool operator != (const RelayRequest &rhs) const {
@@ -399,8 +437,10 @@
 std::ostream& operator<<(std::ostream& out, const RelayEntry& obj);
 
 typedef struct _RelayCatalogue__isset {
-  _RelayCatalogue__isset() : flowIdleNanoseconds(false) {}
+  _RelayCatalogue__isset() : flowIdleNanoseconds(false), baseVersion(false), removed(false) {}
   bool flowIdleNanoseconds :1;
+  bool baseVersion :1;
+  bool removed :1;
 } _RelayCatalogue__isset;
 
 class RelayCatalogue : public virtual ::apache::thrift::TBase {
@@ -412,7 +452,8 @@
                  : key(),
                    revision(0),
                    version(0),
-                   flowIdleNanoseconds(0) {
+                   flowIdleNanoseconds(0),
+                   baseVersion(0) {
   }
 
   virtual ~RelayCatalogue() noexcept;
@@ -421,6 +462,14 @@
   int64_t version;
   std::vector<RelayEntry>  entries;
   int64_t flowIdleNanoseconds;
+  /**
+   * Set if these are only the changes from that version.
+   */
+  int64_t baseVersion;
+  /**
+   * Addresses of the entries that were removed since that version.
+   */
+  std::vector<RelayEndpoint>  removed;
 
   _RelayCatalogue__isset __isset;
 
@@ -434,6 +483,10 @@
 
   void __set_flowIdleNanoseconds(const int64_t val);
 
+  void __set_baseVersion(const int64_t val);
+
+  void __set_removed(const std::vector<RelayEndpoint> & val);
+
   bool operator == (const RelayCatalogue & rhs) const
   {
     if (!(key == rhs.key))
@@ -448,6 +501,14 @@
       return false;
     else if (__isset.flowIdleNanoseconds && !(flowIdleNanoseconds == rhs.flowIdleNanoseconds))
       return false;
+    if (__isset.baseVersion != rhs.__isset.baseVersion)
+      return false;
+    else if (__isset.baseVersion && !(baseVersion == rhs.baseVersion))
+      return false;
+    if (__isset.removed != rhs.__isset.removed)
+      return false;
+    else if (__isset.removed && !(removed == rhs.removed))
+      return false;
     return true;
   }
   bool operator != (const RelayCatalogue &rhs) const {
@@ -466,11 +527,70 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayCatalogue& obj);
 
+typedef struct _RelayRecords__isset {
+  _RelayRecords__isset() : catalogue(false) {}
+  bool catalogue :1;
+} _RelayRecords__isset;
+
+/**
+ * Records, which RelayAnswer.packed contains compressed with Zstandard.
+ */
+class RelayRecords : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayRecords(const RelayRecords&);
+  RelayRecords& operator=(const RelayRecords&);
+  RelayRecords() noexcept {
+  }
+
+  virtual ~RelayRecords() noexcept;
+  std::vector<RelayUpstream>  upstreams;
+  std::vector<RelayRemoval>  removals;
+  RelayCatalogue catalogue;
+
+  _RelayRecords__isset __isset;
+
+  void __set_upstreams(const std::vector<RelayUpstream> & val);
+
+  void __set_removals(const std::vector<RelayRemoval> & val);
+
+  void __set_catalogue(const RelayCatalogue& val);
+
+  bool operator == (const RelayRecords & rhs) const
+  {
+    if (!(upstreams == rhs.upstreams))
+      return false;
+    if (!(removals == rhs.removals))
+      return false;
+    if (__isset.catalogue != rhs.__isset.catalogue)
+      return false;
+    else if (__isset.catalogue && !(catalogue == rhs.catalogue))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayRecords &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayRecords & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayRecords &a, RelayRecords &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayRecords& obj);
+
 typedef struct _RelayAnswer__isset {
-  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false) {}
+  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false), packed(false), requestId(false) {}
   bool outageNanoseconds :1;
   bool catalogue :1;
   bool elsewhere :1;
+  bool packed :1;
+  bool requestId :1;
 } _RelayAnswer__isset;
 
 class RelayAnswer : public virtual ::apache::thrift::TBase {
@@ -481,7 +601,9 @@
   RelayAnswer() noexcept
               : asOf(0),
                 ageNanoseconds(0),
-                outageNanoseconds(0) {
+                outageNanoseconds(0),
+                packed(),
+                requestId(0) {
   }
 
   virtual ~RelayAnswer() noexcept;
@@ -501,6 +623,14 @@
    * Whom to ask instead.
    */
   RelayEndpoint elsewhere;
+  /**
+   * RelayRecords in place of the fields 4 to 6, which are empty then.
+   */
+  std::string packed;
+  /**
+   * That of the request.
+   */
+  int64_t requestId;
 
   _RelayAnswer__isset __isset;
 
@@ -518,6 +648,10 @@
 
   void __set_elsewhere(const RelayEndpoint& val);
 
+  void __set_packed(const std::string& val);
+
+  void __set_requestId(const int64_t val);
+
   bool operator == (const RelayAnswer & rhs) const
   {
     if (!(asOf == rhs.asOf))
@@ -540,6 +674,14 @@
       return false;
     else if (__isset.elsewhere && !(elsewhere == rhs.elsewhere))
       return false;
+    if (__isset.packed != rhs.__isset.packed)
+      return false;
+    else if (__isset.packed && !(packed == rhs.packed))
+      return false;
+    if (__isset.requestId != rhs.__isset.requestId)
+      return false;
+    else if (__isset.requestId && !(requestId == rhs.requestId))
+      return false;
     return true;
   }
   bool operator != (const RelayAnswer &rhs) const {
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -74,6 +74,21 @@
     bool operator==(const CatalogueRecord &) const = default;
 };
 
+/// The difference between two versions of the catalogue. VMs pass it on in place of the whole catalogue.
+struct CatalogueDelta
+{
+    /// Applies only to a catalogue of this version.
+    CatalogueVersion base;
+    CatalogueVersion version;
+    /// Entries that are new or different.
+    std::vector<EntryRecord> changed;
+    /// Addresses of the entries that were removed.
+    std::vector<Endpoint> removed;
+    std::optional<Duration> flowIdleTimeout;
+
+    bool operator==(const CatalogueDelta &) const = default;
+};
+
 /// A record that names nothing to use; @c reason says why.
 struct UnreadableRecord
 {
@@ -93,7 +108,7 @@
 {
     std::string key;
     DirectoryRevision revision;
-    std::variant<UpstreamRecord, CatalogueRecord, UnreadableRecord, RemovedRecord> content;
+    std::variant<UpstreamRecord, CatalogueRecord, CatalogueDelta, UnreadableRecord, RemovedRecord> content;
 
     bool operator==(const DirectoryItem &) const = default;
 };
@@ -111,6 +126,8 @@
     std::string afterKey;
     /// Watch, Follow: changes after this revision are wanted.
     DirectoryRevision after;
+    /// Follow: version of the catalogue that this VM has; 0 if none.
+    CatalogueVersion catalogue;
     /// Follow: the VM to ask.
     Endpoint relay;
     /// Watch, Follow: how long an answer may wait for a change.
@@ -151,6 +168,8 @@
 struct FollowRequest
 {
     DirectoryRevision after;
+    /// Version of the catalogue that the asking VM has; 0 if none or unknown.
+    CatalogueVersion catalogue;
     /// How long the answer may wait for a change.
     Duration wait {};
     /// Where the asking VM answers such requests itself, and its availability zone.
--- a/model/directory_view.h
+++ b/model/directory_view.h
@@ -7,6 +7,7 @@
 #include "model/upstream.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,7 +67,8 @@
     ZoneId selfZone;
     /// A flow without packets for longer may be forgotten.
     Duration flowIdleTimeout {};
-    std::vector<DirectoryEntry> entries;
+    /// Never null; views of the same catalogue share it.
+    std::shared_ptr<const std::vector<DirectoryEntry>> entries = std::make_shared<std::vector<DirectoryEntry>>();
     std::vector<DirectoryUpstream> upstreams;
 };
 
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -180,7 +180,7 @@
         return;
     }
     for (const RelayAnswer &answer : node_.takeRelayAnswers(now())) {
-        parts_.relayListener->answer(answer.follower, answer.changes);
+        parts_.relayListener->answer(answer);
     }
 }
 
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -94,7 +94,7 @@
 
 const DirectoryEntry *TaggedRouter::findEntry(const Endpoint &address) const
 {
-    const auto &entries = view_->entries;
+    const auto &entries = *view_->entries;
     const auto found =
         std::lower_bound(entries.begin(), entries.end(), address, [](const auto &entry, const Endpoint &a) {
             return entry.address < a;
--- a/servers/relay_listener.h
+++ b/servers/relay_listener.h
@@ -29,7 +29,7 @@
     virtual void start(Callbacks callbacks) = 0;
 
     /// Sends an answer to the follower's last request; dropped if its connection is gone.
-    virtual void answer(FollowerId follower, const DirectoryChanges &changes) = 0;
+    virtual void answer(const RelayAnswer &answer) = 0;
 };
 
 } // namespace boragelug
--- a/tests/drivers/relay_test.cpp
+++ b/tests/drivers/relay_test.cpp
@@ -1,4 +1,5 @@
 #include "drivers/counting_metric_sink.h"
+#include "drivers/packed_bytes.h"
 #include "drivers/relay_codec.h"
 #include "drivers/tcp_relay_directory.h"
 #include "drivers/tcp_relay_listener.h"
@@ -8,8 +9,10 @@
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace boragelug
 {
@@ -62,32 +65,72 @@
 TEST(RelayCodec, KeepsAllFields)
 {
     const DirectoryChanges changes = sampleChanges();
-    const auto bytes = encodeRelayAnswer(changes);
+    const auto bytes = encodeRelayAnswer({ .changes = changes, .requestId = 17 });
     EXPECT_EQ(decodeRelayLength(std::span(bytes).first<relayLengthBytes>()), bytes.size() - relayLengthBytes);
     const auto decoded = decodeRelayAnswer(withoutLength(bytes));
     ASSERT_TRUE(decoded);
-    EXPECT_EQ(decoded->items, changes.items);
-    EXPECT_EQ(decoded->asOf, changes.asOf);
-    EXPECT_EQ(decoded->age, changes.age);
-    EXPECT_EQ(decoded->sinceOutage, changes.sinceOutage);
-    EXPECT_EQ(decoded->elsewhere, changes.elsewhere);
-    const FollowRequest request { .after = { 8 }, .wait = 500ms, .listening = anyLocal, .zone = "kgd-north" };
+    EXPECT_EQ(decoded->requestId, 17U);
+    EXPECT_EQ(decoded->changes.items, changes.items);
+    EXPECT_EQ(decoded->changes.asOf, changes.asOf);
+    EXPECT_EQ(decoded->changes.age, changes.age);
+    EXPECT_EQ(decoded->changes.sinceOutage, changes.sinceOutage);
+    EXPECT_EQ(decoded->changes.elsewhere, changes.elsewhere);
+    const RelayRequestMessage request { .request = { .after = { 8 },
+                                                     .catalogue = { 3 },
+                                                     .wait = 500ms,
+                                                     .listening = anyLocal,
+                                                     .zone = "kgd-north" },
+                                        .id = 18,
+                                        .acceptsPacked = true };
     EXPECT_EQ(decodeRelayRequest(withoutLength(encodeRelayRequest(request))), request);
 }
 
+// The same for records that are packed, among them changes of a catalogue.
+TEST(RelayCodec, KeepsAllPackedRecords)
+{
+    DirectoryChanges changes = sampleChanges();
+    const auto &catalogue = std::get<CatalogueRecord>(changes.items.front().content);
+    changes.items.front().content = CatalogueDelta { .base = { 11 },
+                                                     .version = { 12 },
+                                                     .changed = catalogue.entries,
+                                                     .removed = { anyLocal },
+                                                     .flowIdleTimeout = 15s };
+    const auto records = std::exchange(changes.items, {});
+    const auto bytes = encodeRelayAnswer({ .changes = changes, .requestId = 1 }, packRelayRecords(records));
+    const auto decoded = decodeRelayAnswer(withoutLength(bytes));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->changes.items, records);
+}
+
+// Guards a VM's memory from a small message that unpacks to a very large one.
+TEST(PackedBytes, RefusesMoreThanTheLimitAndDamagedBytes)
+{
+    const std::string text(100'000, 'x');
+    const std::string packed = packBytes(text);
+    EXPECT_LT(packed.size(), 1000U);
+    EXPECT_EQ(unpackBytes(packed, text.size()), text);
+    EXPECT_FALSE(unpackBytes(packed, text.size() - 1));
+    EXPECT_FALSE(unpackBytes(packed.substr(0, packed.size() / 2), text.size()));
+    EXPECT_FALSE(unpackBytes("", text.size()));
+    EXPECT_FALSE(unpackBytes("no frame", text.size()));
+}
+
 // Guards a VM from messages that were cut, changed or made up: none may crash it or be taken half.
 TEST(RelayCodec, SurvivesAnyBytes)
 {
     Random random(7);
-    const auto answer = encodeRelayAnswer(sampleChanges());
-    const std::vector<std::byte> body(withoutLength(answer).begin(), withoutLength(answer).end());
-    for (int i = 0; i < randomInputs; ++i) {
-        const auto bytes = i % 2 == 0 ? randomBytes(random, 200) : mutate(random, body);
-        const auto decoded = decodeRelayAnswer(bytes);
-        if (decoded) {
-            EXPECT_GE(decoded->age, Duration::zero());
+    const auto plain = encodeRelayAnswer({ .changes = sampleChanges(), .requestId = 1 });
+    const auto packed = encodeRelayAnswer({}, packRelayRecords(sampleChanges().items));
+    for (const auto &answer : { plain, packed }) {
+        const std::vector<std::byte> body(withoutLength(answer).begin(), withoutLength(answer).end());
+        for (int i = 0; i < randomInputs; ++i) {
+            const auto bytes = i % 2 == 0 ? randomBytes(random, 200) : mutate(random, body);
+            const auto decoded = decodeRelayAnswer(bytes);
+            if (decoded) {
+                EXPECT_GE(decoded->changes.age, Duration::zero());
+            }
+            decodeRelayRequest(bytes);
         }
-        decodeRelayRequest(bytes);
     }
 }
 
@@ -103,7 +146,9 @@
                                  lastFollower = follower;
                                  lastRequest = request;
                                  if (answers) {
-                                     listener.answer(follower, sampleChanges());
+                                     listener.answer({ .follower = follower, .changes = {}, .records = records });
+                                     // A second answer must not be sent.
+                                     listener.answer({ .follower = follower, .changes = {}, .records = nullptr });
                                  }
                              },
                          .onGone = [this](FollowerId) { ++gone; } });
@@ -128,6 +173,7 @@
     CountingMetricSink metrics;
     TcpRelayListener listener;
     TcpRelayDirectory directory;
+    SharedRecords records = std::make_shared<const std::vector<DirectoryItem>>(sampleChanges().items);
     bool answers = true;
     int gone = 0;
     std::uint64_t lastId = 0;
--- a/tests/routing/tagged_fixture.h
+++ b/tests/routing/tagged_fixture.h
@@ -4,6 +4,7 @@
 #include "routing/tagged_router.h"
 
 #include <cstdint>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -46,13 +47,12 @@
     made->version = CatalogueVersion { 1 };
     made->selfZone = home;
     made->flowIdleTimeout = std::chrono::seconds(15);
-    made->entries = {
+    made->entries = std::make_shared<std::vector<DirectoryEntry>>(std::initializer_list<DirectoryEntry> {
         { .name = EntryName { "ledger" }, .address = ledgerEntry, .services = { { ledger, 1 } }, .idempotent = true },
         { .name = EntryName { "scans" },
           .address = inspectionEntry,
           .services = { { inspection, 1 } },
-          .idempotent = false }
-    };
+          .idempotent = false } });
     made->upstreams = std::move(upstreams);
     return made;
 }
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -81,6 +81,16 @@
     return made;
 }
 
+/// The answer as its follower receives it.
+DirectoryChanges wholeAnswer(const RelayAnswer &answer)
+{
+    DirectoryChanges whole = answer.changes;
+    if (answer.records) {
+        whole.items = *answer.records;
+    }
+    return whole;
+}
+
 class DirectoryFollowTest : public ::testing::Test
 {
 protected:
@@ -306,6 +316,20 @@
     }
 }
 
+// Guards the catalogue of a VM that missed the version from which a relay's changes start: they are refused as a whole, and
+// the VM reads the directory.
+TEST_F(DirectoryFollowTest, RefusesChangesOfAnotherCatalogueVersion)
+{
+    CatalogueDelta delta;
+    delta.base = CatalogueVersion { 2 };
+    delta.version = CatalogueVersion { 3 };
+    const DirectoryItem item { .key = "catalogue", .revision = { 5 }, .content = delta };
+    EXPECT_TRUE(vm.answer(DirectoryCall::Kind::Follow, changes({ item, host(2, 4) }, 5), now).failedRelay);
+    EXPECT_EQ(vm.mirror.catalogueVersion(), CatalogueVersion { 1 });
+    EXPECT_EQ(vm.reader.syncedRevision(), DirectoryRevision { 2 });
+    EXPECT_EQ(vm.reader.nextCall(now)->kind, DirectoryCall::Kind::Watch);
+}
+
 // Guards the first VM of each chain of followers: a relay reads the directory itself, and while it has followers, it
 // asks for up-to-date answers only.
 TEST_F(DirectoryFollowTest, RelaysReadTheDirectory)
@@ -336,7 +360,7 @@
     {
         const Endpoint listening { .address = { static_cast<std::uint32_t>(1000 + follower) }, .port = { 80 } };
         vm.relay.handleRequest(
-            FollowerId { follower }, { .after = { after }, .wait = 500ms, .listening = listening, .zone = "kgd-north" }, now);
+            FollowerId { follower }, { .after = { after }, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = "kgd-north" }, now);
     }
 
     std::vector<RelayAnswer> answers() { return vm.relay.takeAnswers(now, vm.random); }
@@ -360,11 +384,32 @@
     ask(1, 2);
     const auto dueAnswers = answers();
     ASSERT_EQ(dueAnswers.size(), 1U);
-    EXPECT_EQ(dueAnswers.front().changes.items.size(), 2U);
+    EXPECT_EQ(dueAnswers.front().records->size(), 2U);
     EXPECT_EQ(dueAnswers.front().changes.asOf, DirectoryRevision { 4 });
     EXPECT_EQ(dueAnswers.front().changes.age, 0ms);
 }
 
+// Guards the bytes between VMs: followers get the changed entries of a catalogue, and share the records they have in
+// common.
+TEST_F(DirectoryRelayTest, SendsChangesOfTheCatalogueAndSharesThem)
+{
+    watch({ catalogue(2, 3) }, 3);
+    for (std::uint32_t id = 1; id <= 2; ++id) {
+        vm.relay.handleRequest(FollowerId { id },
+                               { .after = { 2 },
+                                 .catalogue = { 1 },
+                                 .wait = 500ms,
+                                 .listening = { .address = { 1000 + id }, .port = { 80 } },
+                                 .zone = "kgd-north" },
+                               now);
+    }
+    const auto dueAnswers = answers();
+    ASSERT_EQ(dueAnswers.size(), 2U);
+    ASSERT_TRUE(std::holds_alternative<CatalogueDelta>(dueAnswers.front().records->front().content));
+    EXPECT_EQ(std::get<CatalogueDelta>(dueAnswers.front().records->front().content).base, CatalogueVersion { 1 });
+    EXPECT_EQ(dueAnswers[0].records, dueAnswers[1].records);
+}
+
 // Guards followers of a relay that has no changes: at the end of the wait, an empty answer reports its staleness.
 TEST_F(DirectoryRelayTest, AnswersWhenTheWaitIsOver)
 {
@@ -374,7 +419,7 @@
     now += 1ms;
     const auto dueAnswers = answers();
     ASSERT_EQ(dueAnswers.size(), 1U);
-    EXPECT_TRUE(dueAnswers.front().changes.items.empty());
+    EXPECT_FALSE(dueAnswers.front().records);
     EXPECT_EQ(dueAnswers.front().changes.age, 500ms);
 }
 
@@ -387,7 +432,7 @@
     ask(1, 0);
     const auto dueAnswers = answers();
     ASSERT_EQ(dueAnswers.size(), 1U);
-    EXPECT_EQ(dueAnswers.front().changes.items.size(), 2U);
+    EXPECT_EQ(dueAnswers.front().records->size(), 2U);
     EXPECT_EQ(dueAnswers.front().changes.age, 2s);
 }
 
@@ -403,9 +448,9 @@
     Vm last(secondRelay, RelaySettings { .maxFollowers = 1 });
     last.list({ catalogue(1, 1) }, 1, now);
     const Endpoint known { .address = { 1001 }, .port = { 80 } };
-    last.relay.handleRequest(FollowerId { 1 }, { .after = {}, .wait = 500ms, .listening = known, .zone = "kgd-north" }, now);
+    last.relay.handleRequest(FollowerId { 1 }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = known, .zone = "kgd-north" }, now);
     last.relay.takeAnswers(now, last.random);
-    last.relay.handleRequest(FollowerId { 2 }, { .after = {}, .wait = 500ms, .listening = plainVm, .zone = "kgd-north" }, now);
+    last.relay.handleRequest(FollowerId { 2 }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = plainVm, .zone = "kgd-north" }, now);
     EXPECT_EQ(last.relay.takeAnswers(now, last.random).front().changes.elsewhere, known);
 }
 
@@ -417,7 +462,7 @@
     const Endpoint south { .address = { 1002 }, .port = { 80 } };
     const auto askFrom = [&](std::uint64_t follower, const Endpoint &listening, const std::string &zone) {
         vm.relay.handleRequest(
-            FollowerId { follower }, { .after = {}, .wait = 500ms, .listening = listening, .zone = zone }, now);
+            FollowerId { follower }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = zone }, now);
         return answers();
     };
     askFrom(1, north, "kgd-north");
@@ -436,7 +481,7 @@
     Vm starting(firstRelay);
     const Endpoint listening { .address = { 1001 }, .port = { 80 } };
     starting.relay.handleRequest(
-        FollowerId { 1 }, { .after = {}, .wait = 600ms, .listening = listening, .zone = "kgd-north" }, now);
+        FollowerId { 1 }, { .after = {}, .catalogue = {}, .wait = 600ms, .listening = listening, .zone = "kgd-north" }, now);
     EXPECT_TRUE(starting.relay.takeAnswers(now, starting.random).empty());
     starting.answer(DirectoryCall::Kind::List,
                     DirectoryPage { .items = { catalogue(1, 1) }, .more = true, .lastKey = "a", .asOf = { 3 } },
@@ -445,7 +490,7 @@
     starting.list({ host(1, 2) }, 3, now);
     const auto due = starting.relay.takeAnswers(now, starting.random);
     ASSERT_EQ(due.size(), 1U);
-    EXPECT_EQ(due.front().changes.items.size(), 2U);
+    EXPECT_EQ(due.front().records->size(), 2U);
 }
 
 // Guards draining hosts and removals when the directory discarded the history that a relay's watch needs: the relay
@@ -457,9 +502,9 @@
     ask(1, 2);
     const auto dueAnswers = answers();
     ASSERT_EQ(dueAnswers.size(), 1U);
-    ASSERT_EQ(dueAnswers.front().changes.items.size(), 1U);
-    EXPECT_TRUE(std::holds_alternative<RemovedRecord>(dueAnswers.front().changes.items.front().content));
-    EXPECT_EQ(dueAnswers.front().changes.items.front().revision, DirectoryRevision { 9 });
+    ASSERT_EQ(dueAnswers.front().records->size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<RemovedRecord>(dueAnswers.front().records->front().content));
+    EXPECT_EQ(dueAnswers.front().records->front().revision, DirectoryRevision { 9 });
 }
 
 // Guards hosts whose records lapsed while the directory was unreachable: followers that could always reach their relay
@@ -477,7 +522,7 @@
     EXPECT_EQ(dueAnswers.front().changes.sinceOutage, 0ms);
     Vm follower(plainVm);
     follower.list({ catalogue(1, 1), host(1, 2) }, 2, now);
-    follower.answer(DirectoryCall::Kind::Follow, dueAnswers.front().changes, now);
+    follower.answer(DirectoryCall::Kind::Follow, wholeAnswer(dueAnswers.front()), now);
     EXPECT_EQ(follower.mirror.publish()->upstreams.front().listing, Listing::Lapsed);
 }
 
@@ -519,9 +564,9 @@
             const auto call = chain[i]->reader.nextCall(now);
             ASSERT_TRUE(call && call->kind == DirectoryCall::Kind::Follow);
             above.relay.handleRequest(
-                FollowerId { i }, { .after = call->after, .wait = 0ms, .listening = plainVm, .zone = "kgd-north" }, now);
+                FollowerId { i }, { .after = call->after, .catalogue = call->catalogue, .wait = 0ms, .listening = plainVm, .zone = "kgd-north" }, now);
             for (const RelayAnswer &relayAnswer : above.relay.takeAnswers(now, random)) {
-                chain[i]->reader.handleAnswer({ .callId = call->id, .result = relayAnswer.changes }, now, random);
+                chain[i]->reader.handleAnswer({ .callId = call->id, .result = wholeAnswer(relayAnswer) }, now, random);
             }
         }
     }
--- a/tests/views/directory_test.cpp
+++ b/tests/views/directory_test.cpp
@@ -72,7 +72,7 @@
     EXPECT_EQ(mirror.publish()->version.value, 7U);
     list(page({ catalogue(6, 9, 1) }, 9));
     EXPECT_EQ(mirror.publish()->version.value, 7U);
-    EXPECT_EQ(mirror.publish()->entries.size(), 3U);
+    EXPECT_EQ(mirror.publish()->entries->size(), 3U);
     mirror.applyChanges(changes({ catalogue(8, 12, 2) }, 12), now);
     EXPECT_EQ(mirror.publish()->version.value, 8U);
 }
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -17,6 +17,12 @@
   3: required RelayEndpoint listening
   /** Availability zone of the sender. */
   4: optional string zoneName
+  /** Version of the catalogue that the sender has. */
+  5: optional i64 catalogueVersion
+  /** The sender reads RelayAnswer.packed. */
+  6: optional bool acceptsPacked
+  /** Returned with the answer. */
+  7: optional i64 requestId
 }
 
 struct RelayUpstream {
@@ -58,6 +64,17 @@
   3: required i64 version
   4: required list<RelayEntry> entries
   5: optional i64 flowIdleNanoseconds
+  /** Set if these are only the changes from that version. */
+  6: optional i64 baseVersion
+  /** Addresses of the entries that were removed since that version. */
+  7: optional list<RelayEndpoint> removed
+}
+
+/** Records, which RelayAnswer.packed contains compressed with Zstandard. */
+struct RelayRecords {
+  1: required list<RelayUpstream> upstreams
+  2: required list<RelayRemoval> removals
+  3: optional RelayCatalogue catalogue
 }
 
 struct RelayAnswer {
@@ -71,4 +88,8 @@
   6: optional RelayCatalogue catalogue
   /** Whom to ask instead. */
   7: optional RelayEndpoint elsewhere
+  /** RelayRecords in place of the fields 4 to 6, which are empty then. */
+  8: optional binary packed
+  /** That of the request. */
+  9: optional i64 requestId
 }
--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -21,7 +21,6 @@
 
 DirectoryMirror::DirectoryMirror(MirrorSettings settings)
     : settings_(std::move(settings))
-    , flowIdleTimeout_(settings_.flowIdleTimeout)
 {
     zoneNumber(settings_.zone);
 }
@@ -88,7 +87,9 @@
 {
     revision_ = std::max(revision_, item.revision);
     if (const auto *catalogue = std::get_if<CatalogueRecord>(&item.content)) {
-        applyCatalogue(item, *catalogue, changes);
+        recordCatalogue(item, catalogue_.adopt(item, *catalogue), catalogue->version, changes);
+    } else if (const auto *delta = std::get_if<CatalogueDelta>(&item.content)) {
+        recordCatalogue(item, catalogue_.adopt(item, *delta), delta->version, changes);
     } else if (const auto *upstream = std::get_if<UpstreamRecord>(&item.content)) {
         applyUpstream(item, *upstream, now, changes);
     } else if (std::holds_alternative<RemovedRecord>(item.content)) {
@@ -100,39 +101,24 @@
     }
 }
 
-void DirectoryMirror::applyCatalogue(const DirectoryItem &item,
-                                     const CatalogueRecord &record,
-                                     std::vector<MirrorChange> &changes)
+void DirectoryMirror::recordCatalogue(const DirectoryItem &item,
+                                      CatalogueMirror::Adoption adoption,
+                                      CatalogueVersion version,
+                                      std::vector<MirrorChange> &changes)
 {
-    if (item.revision <= catalogueRevision_ || record.version <= version_) {
-        if (record.version < version_) {
-            changes.push_back(
-                makeChange(MirrorChange::Kind::CatalogueIgnored, item, std::to_string(record.version.value)));
-        }
+    switch (adoption) {
+    case CatalogueMirror::Adoption::AlreadyKnown:
+        return;
+    case CatalogueMirror::Adoption::Older:
+    case CatalogueMirror::Adoption::WrongBase:
+        changes.push_back(makeChange(MirrorChange::Kind::CatalogueIgnored, item, std::to_string(version.value)));
+        return;
+    case CatalogueMirror::Adoption::Adopted:
+        publishedEntries_.reset();
+        published_.reset();
+        changes.push_back(makeChange(MirrorChange::Kind::CatalogueAdopted, item, std::to_string(version.value)));
         return;
     }
-    catalogueRevision_ = item.revision;
-    catalogue_ = item;
-    version_ = record.version;
-    flowIdleTimeout_ = record.flowIdleTimeout.value_or(settings_.flowIdleTimeout);
-    entries_.clear();
-    entries_.reserve(record.entries.size());
-    for (const EntryRecord &entry : record.entries) {
-        DirectoryEntry numbered { .name = entry.name,
-                                  .address = entry.address,
-                                  .services = {},
-                                  .idempotent = entry.idempotent,
-                                  .latencyObjective = entry.latencyObjective,
-                                  .timeout = entry.timeout,
-                                  .priority = entry.priority };
-        for (const ServiceShare &share : entry.services) {
-            numbered.services.emplace_back(serviceNumber(share.service), share.weight);
-        }
-        entries_.push_back(std::move(numbered));
-    }
-    std::sort(entries_.begin(), entries_.end(), [](const auto &a, const auto &b) { return a.address < b.address; });
-    published_.reset();
-    changes.push_back(makeChange(MirrorChange::Kind::CatalogueAdopted, item, std::to_string(record.version.value)));
 }
 
 void DirectoryMirror::applyUpstream(const DirectoryItem &item,
@@ -211,11 +197,12 @@
     earlierIncarnations_.push_back(earlier);
 }
 
-std::vector<DirectoryItem> DirectoryMirror::changesSince(DirectoryRevision after, TimePoint now) const
+std::vector<DirectoryItem>
+DirectoryMirror::changesSince(DirectoryRevision after, CatalogueVersion catalogue, TimePoint now) const
 {
     std::vector<DirectoryItem> items;
-    if (catalogue_ && catalogue_->revision > after) {
-        items.push_back(*catalogue_);
+    if (hasCatalogue() && catalogue_.isNewerThan(catalogue, after)) {
+        items.push_back(catalogue_.changesFrom(catalogue));
     }
     for (const auto &[key, known] : upstreams_) {
         if (known.revision <= after) {
@@ -271,17 +258,39 @@
     return changes;
 }
 
+std::shared_ptr<const std::vector<DirectoryEntry>> DirectoryMirror::makeEntries()
+{
+    auto entries = std::make_shared<std::vector<DirectoryEntry>>();
+    for (const EntryRecord &record : catalogue_.entries()) {
+        DirectoryEntry entry { .name = record.name,
+                               .address = record.address,
+                               .services = {},
+                               .idempotent = record.idempotent,
+                               .latencyObjective = record.latencyObjective,
+                               .timeout = record.timeout,
+                               .priority = record.priority };
+        for (const ServiceShare &share : record.services) {
+            entry.services.emplace_back(serviceNumber(share.service), share.weight);
+        }
+        entries->push_back(std::move(entry));
+    }
+    return entries;
+}
+
 std::shared_ptr<const DirectoryView> DirectoryMirror::publish()
 {
     if (published_) {
         return published_;
     }
     auto view = std::make_shared<DirectoryView>();
-    view->version = version_;
+    view->version = catalogueVersion();
     view->revision = revision_;
     view->selfZone = zoneNumber(settings_.zone);
-    view->flowIdleTimeout = flowIdleTimeout_;
-    view->entries = entries_;
+    view->flowIdleTimeout = catalogue_.flowIdleTimeout().value_or(settings_.flowIdleTimeout);
+    if (!publishedEntries_) {
+        publishedEntries_ = makeEntries();
+    }
+    view->entries = publishedEntries_;
     view->upstreams.reserve(upstreams_.size() + earlierIncarnations_.size());
     for (const auto &[key, known] : upstreams_) {
         view->upstreams.push_back(known.status);
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/directory_view.h"
+#include "views/catalogue_mirror.h"
 
 #include <cstddef>
 #include <map>
@@ -79,8 +80,11 @@
     /// When the last outage of the directory ended; std::nullopt if there was none.
     const std::optional<TimePoint> &outageEnd() const { return outageEnd_; }
 
-    /// The latest state of all records that changed after revision @p after, removals included.
-    std::vector<DirectoryItem> changesSince(DirectoryRevision after, TimePoint now) const;
+    /// The latest state of all records that changed after revision @p after, removals included. The catalogue is
+    /// included if it is newer than version @p catalogue, as changes from that version if it is known here; for version
+    /// 0, if it changed after @p after.
+    std::vector<DirectoryItem>
+    changesSince(DirectoryRevision after, CatalogueVersion catalogue, TimePoint now) const;
 
     /// Updates the upstreams whose grace or retention period has expired.
     std::vector<MirrorChange> tick(TimePoint now);
@@ -89,7 +93,10 @@
     std::shared_ptr<const DirectoryView> publish();
 
     /// Whether a catalogue was adopted.
-    bool hasCatalogue() const { return version_.value != 0; }
+    bool hasCatalogue() const { return catalogueVersion().value != 0; }
+
+    /// Version of the catalogue; 0 if there is none.
+    CatalogueVersion catalogueVersion() const { return catalogue_.version(); }
 
 private:
     struct KnownUpstream
@@ -100,7 +107,11 @@
     };
 
     void apply(const DirectoryItem &item, TimePoint now, std::vector<MirrorChange> &changes);
-    void applyCatalogue(const DirectoryItem &item, const CatalogueRecord &record, std::vector<MirrorChange> &changes);
+    void recordCatalogue(const DirectoryItem &item,
+                         CatalogueMirror::Adoption adoption,
+                         CatalogueVersion version,
+                         std::vector<MirrorChange> &changes);
+    std::shared_ptr<const std::vector<DirectoryEntry>> makeEntries();
     void applyUpstream(const DirectoryItem &item,
                        const UpstreamRecord &record,
                        TimePoint now,
@@ -122,12 +133,10 @@
     DirectoryRevision listedAsOf_;
     std::map<std::string, ServiceId> services_;
     std::map<std::string, ZoneId> zones_;
-    CatalogueVersion version_;
-    DirectoryRevision catalogueRevision_;
-    std::optional<DirectoryItem> catalogue_;
+    CatalogueMirror catalogue_;
     DirectoryRevision revision_;
-    std::vector<DirectoryEntry> entries_;
-    Duration flowIdleTimeout_;
+    /// The entries as the view has them; null after the catalogue changed.
+    std::shared_ptr<const std::vector<DirectoryEntry>> publishedEntries_;
     std::optional<TimePoint> outageEnd_;
     bool complete_ = false;
     std::shared_ptr<const DirectoryView> published_;
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -77,6 +77,7 @@
     call.kind = DirectoryCall::Kind::Follow;
     call.relay = *relay_;
     call.after = watchFrom_;
+    call.catalogue = mirror_.catalogueVersion();
     call.wait = settings_.follow.followWait;
     call.timeout = call.wait + settings_.follow.answerMargin;
     return call;
@@ -182,9 +183,7 @@
         relay_ = changes.elsewhere;
         return;
     }
-    if (changes.elsewhere || changes.age > settings_.follow.maxStaleness) {
-        const std::string reason =
-            changes.elsewhere ? "referred to another VM too often" : "records of the relay are too stale";
+    if (const std::string reason = reasonToReject(changes); !reason.empty()) {
         handleFollowFailure(call, reason, now, random, outcome);
         return;
     }
@@ -199,6 +198,22 @@
     following_ = true;
 }
 
+std::string DirectoryReader::reasonToReject(const DirectoryChanges &changes) const
+{
+    if (changes.elsewhere) {
+        return "referred to another VM too often";
+    }
+    if (changes.age > settings_.follow.maxStaleness) {
+        return "records of the relay are too stale";
+    }
+    // Changes of another version would be skipped, and the catalogue would miss them from then on.
+    const bool isOfOtherVersion = std::any_of(changes.items.begin(), changes.items.end(), [&](const auto &item) {
+        const auto *delta = std::get_if<CatalogueDelta>(&item.content);
+        return delta != nullptr && delta->base != mirror_.catalogueVersion();
+    });
+    return isOfOtherVersion ? "changes of the relay start from another version of the catalogue" : "";
+}
+
 void DirectoryReader::recordRelayAnswer(const DirectoryChanges &changes, TimePoint now)
 {
     watchFrom_ = std::max(watchFrom_, changes.asOf);
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -183,6 +183,8 @@
     DirectoryCall makeWatch(TimePoint now);
     DirectoryCall makeFollow(TimePoint now);
     bool mayFollow(TimePoint now) const;
+    /// Why an answer of a relay isn't used; empty if it is.
+    std::string reasonToReject(const DirectoryChanges &changes) const;
     void recordRelayAnswer(const DirectoryChanges &changes, TimePoint now);
     void handleFollowFailure(
         const DirectoryCall &call, std::string reason, TimePoint now, Random &random, ReaderOutcome &outcome);
--- a/views/directory_relay.cpp
+++ b/views/directory_relay.cpp
@@ -1,6 +1,8 @@
 #include "views/directory_relay.h"
 
 #include <iterator>
+#include <optional>
+#include <utility>
 
 namespace boragelug
 {
@@ -53,45 +55,59 @@
         auto &[follower, waiting] = *it;
         const Endpoint &listening = waiting.request.listening;
         if (!acceptsFollower(listening)) {
-            DirectoryChanges changes;
-            changes.elsewhere = referral(waiting.request, random);
-            answers.push_back({ .follower = follower, .changes = std::move(changes) });
+            RelayAnswer elsewhere { .follower = follower, .changes = {}, .records = nullptr };
+            elsewhere.changes.elsewhere = referral(waiting.request, random);
+            answers.push_back(std::move(elsewhere));
             it = waiting_.erase(it);
             continue;
         }
         followers_[listening] = { .lastRequest = now, .zone = waiting.request.zone };
         const bool hasNewRevision = reader_.isComplete() && reader_.syncedRevision() > waiting.checkedRevision;
-        DirectoryChanges changes;
+        std::optional<RelayAnswer> answer;
         if (hasNewRevision) {
-            changes = makeAnswer(waiting.request, now);
+            answer = makeAnswer(follower, waiting.request, now);
             waiting.checkedRevision = reader_.syncedRevision();
         }
-        if (changes.items.empty() && now < waiting.deadline) {
+        if ((!answer || !answer->records) && now < waiting.deadline) {
             ++it;
             continue;
         }
-        if (!hasNewRevision) {
-            changes = makeAnswer(waiting.request, now);
-        }
-        answers.push_back({ .follower = follower, .changes = std::move(changes) });
+        answers.push_back(answer ? std::move(*answer) : makeAnswer(follower, waiting.request, now));
         it = waiting_.erase(it);
     }
     return answers;
 }
 
-DirectoryChanges DirectoryRelay::makeAnswer(const FollowRequest &request, TimePoint now) const
+RelayAnswer DirectoryRelay::makeAnswer(FollowerId follower, const FollowRequest &request, TimePoint now)
 {
-    DirectoryChanges changes;
+    RelayAnswer answer { .follower = follower, .changes = {}, .records = nullptr };
     if (reader_.isComplete()) {
-        changes.items = mirror_.changesSince(request.after, now);
-        changes.asOf = reader_.syncedRevision();
+        answer.records = recordsFor(request, now);
+        answer.changes.asOf = reader_.syncedRevision();
     }
     // A VM that was never up to date reports the maximum staleness.
-    changes.age = reader_.staleness(now).value_or(Duration::max());
+    answer.changes.age = reader_.staleness(now).value_or(Duration::max());
     if (mirror_.outageEnd() && now - *mirror_.outageEnd() < settings_.outageRetention) {
-        changes.sinceOutage = now - *mirror_.outageEnd();
+        answer.changes.sinceOutage = now - *mirror_.outageEnd();
+    }
+    return answer;
+}
+
+SharedRecords DirectoryRelay::recordsFor(const FollowRequest &request, TimePoint now)
+{
+    if (cachedRevision_ != reader_.syncedRevision() || now - cachedAt_ >= settings_.cacheTime) {
+        cachedRecords_.clear();
+        cachedRevision_ = reader_.syncedRevision();
+        cachedAt_ = now;
+    }
+    const auto [found, isNew] = cachedRecords_.try_emplace({ request.after, request.catalogue });
+    if (isNew) {
+        auto items = mirror_.changesSince(request.after, request.catalogue, now);
+        if (!items.empty()) {
+            found->second = std::make_shared<const std::vector<DirectoryItem>>(std::move(items));
+        }
     }
-    return changes;
+    return found->second;
 }
 
 } // namespace boragelug
--- a/views/directory_relay.h
+++ b/views/directory_relay.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,15 +28,24 @@
     /// A VM without a request for this long no longer counts as a follower. Followers ask about twice a second, or
     /// every 3 s while this VM isn't up to date.
     Duration followerRetention = std::chrono::seconds(10);
+    /// How long records are used for several answers. They contain how much longer upstreams are slow after their start,
+    /// which may be wrong by this much.
+    Duration cacheTime = std::chrono::milliseconds(500);
     /// How long answers report an outage of the directory after its end: as long as records may lapse because of it.
     Duration outageRetention = std::chrono::seconds(5);
 };
 
+/// Records of the directory; followers that ask for the same ones share them.
+using SharedRecords = std::shared_ptr<const std::vector<DirectoryItem>>;
+
 /// An answer to send to one follower.
 struct RelayAnswer
 {
     FollowerId follower;
+    /// The answer without its records.
     DirectoryChanges changes;
+    /// Null if there are none.
+    SharedRecords records;
 };
 
 /**
@@ -81,12 +91,17 @@
     bool acceptsFollower(const Endpoint &listening) const;
     /// The VM that a follower beyond the limit is referred to. Precondition: there is a follower.
     Endpoint referral(const FollowRequest &request, Random &random) const;
-    DirectoryChanges makeAnswer(const FollowRequest &request, TimePoint now) const;
+    RelayAnswer makeAnswer(FollowerId follower, const FollowRequest &request, TimePoint now);
+    SharedRecords recordsFor(const FollowRequest &request, TimePoint now);
 
     const DirectoryMirror &mirror_;
     const DirectoryReader &reader_;
     RelaySettings settings_;
     std::map<FollowerId, Waiting> waiting_;
+    /// Records made for the requests at one revision, by what the followers had, and when they were made.
+    std::map<std::pair<DirectoryRevision, CatalogueVersion>, SharedRecords> cachedRecords_;
+    DirectoryRevision cachedRevision_;
+    TimePoint cachedAt_;
     /// By the address at which they serve their own followers.
     std::map<Endpoint, Follower> followers_;
 };
