Let VMs with records announce them to relays that start later

Cause: relays get power 0.3 s after the other VMs and then listed the directory for 0.28 s beside many others, while VMs that had started before them had all records already. Change: a VM that listed the directory itself tells each relay once; a relay that is starting asks the first such VM for all records. Follow calls have a connection time-out of 0.1 s.

--- a/drivers/tcp_relay_directory.cpp
+++ b/drivers/tcp_relay_directory.cpp
@@ -4,6 +4,7 @@
 #include "drivers/udp_socket.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -29,6 +30,19 @@
 
     const Endpoint &relay() const { return relay_; }
     bool isBroken() const { return broken_; }
+    bool isBusy() const { return done_ != nullptr; }
+
+    /// Ends the call in progress with a failure, soon but not at once.
+    void replaceCall()
+    {
+        asio::post(socket_.get_executor(), [done = std::exchange(done_, nullptr), id = id_] {
+            done({ .callId = id,
+                   .result = DirectoryFailure { .error = DirectoryError::Unreachable,
+                                                .detail = "another call was started" } });
+        });
+        close();
+    }
+
     /// Whether the call with this id is in progress.
     bool hasCall(std::uint64_t id) const { return done_ && id_ == id; }
     std::size_t receivedBytes() const { return receivedBytes_; }
@@ -179,6 +193,9 @@
 
 void TcpRelayDirectory::call(const DirectoryCall &call, Done done)
 {
+    if (connection_ && connection_->isBusy()) {
+        connection_->replaceCall();
+    }
     if (!connection_ || connection_->isBroken() || connection_->relay() != call.relay) {
         if (connection_) {
             connection_->close();
--- a/drivers/tcp_relay_directory.h
+++ b/drivers/tcp_relay_directory.h
@@ -13,8 +13,9 @@
 {
 
 /**
- * Asks other VMs for what they read of the directory: Follow calls, one at a time. The connection to a VM is kept until
- * a call fails or goes to another one. Runs on the context's thread.
+ * Asks other VMs for what they read of the directory: Follow calls, one at a time; a call that starts while another is
+ * in progress ends that one with a failure. The connection to a VM is kept until a call fails or goes to another one.
+ * Runs on the context's thread.
  */
 class TcpRelayDirectory : public Directory
 {
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -294,7 +294,10 @@
         appendChanges(outcome.changes, events);
     }
     publish(now);
-    endStart(events);
+    if (!wasComplete && reader_.isComplete()) {
+        start_.announce(reader_.syncedRevision(), now);
+        appendReadyEvent(events);
+    }
     return events;
 }
 
@@ -310,17 +313,14 @@
                            .causeId = 0,
                            .fields = { { "relay", toString(result.relay) }, { "view_age_ms", viewAgeText(now) } } });
         publish(now);
+        start_.stop();
+        appendReadyEvent(events);
     }
-    endStart(events);
     return events;
 }
 
-void TaggedNode::endStart(std::vector<NodeEvent> &events)
+void TaggedNode::appendReadyEvent(std::vector<NodeEvent> &events)
 {
-    if (!reader_.isComplete()) {
-        return;
-    }
-    start_.stop();
     if (isReady() && !wasReady_) {
         wasReady_ = true;
         events.push_back({ .number = EventNumber::ProcessReady,
@@ -332,6 +332,10 @@
 
 void TaggedNode::handleFollower(FollowerId follower, const FollowRequest &request, TimePoint now)
 {
+    // A VM that asks for changes has all records up to a revision.
+    if (isStarting() && request.after != DirectoryRevision {}) {
+        start_.handleAnnouncement(request.listening, now);
+    }
     relay_.handleRequest(follower, request, now);
 }
 
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -165,7 +165,7 @@
 
 private:
     void publish(TimePoint now);
-    void endStart(std::vector<NodeEvent> &events);
+    void appendReadyEvent(std::vector<NodeEvent> &events);
     void routeHeld(TimePoint now, std::vector<DequeuedPacket> &dequeued);
     /// @p waited is the time that the packet was held before the first view.
     bool mayReset(const FlowPacket &packet, Duration waited, TimePoint now) const;
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -189,9 +189,11 @@
     StoreDirectory directory(runtime.context(), settings->directoryEndpoint);
     TcpReachabilityProbe probe(runtime.context(), runtime.clock());
     std::optional<TcpRelayDirectory> relays;
+    std::optional<TcpRelayDirectory> startRelays;
     std::optional<TcpRelayListener> relayListener;
     if (settings->relayEndpoint) {
         relays.emplace(runtime.context(), *settings->relayEndpoint, settings->zone);
+        startRelays.emplace(runtime.context(), *settings->relayEndpoint, settings->zone);
         relayListener.emplace(runtime.context(), *settings->relayEndpoint, metrics);
     }
     TaggedProcess process({ .runtime = runtime,
@@ -199,6 +201,7 @@
                             .probe = probe,
                             .directory = directory,
                             .relays = relays ? &*relays : nullptr,
+                            .startRelays = startRelays ? &*startRelays : nullptr,
                             .relayListener = relayListener ? &*relayListener : nullptr,
                             .metrics = metrics,
                             .events = events,
--- a/programs/directory_calls.cpp
+++ b/programs/directory_calls.cpp
@@ -11,12 +11,14 @@
                                TaggedNode &node,
                                Directory &directory,
                                Directory *relays,
+                               Directory *startRelays,
                                PrometheusMetrics &metrics,
                                Handler handler)
     : runtime_(runtime)
     , node_(node)
     , directory_(directory)
     , relays_(relays)
+    , startRelays_(startRelays)
     , metrics_(metrics)
     , handler_(std::move(handler))
     , timer_(runtime.context())
@@ -59,10 +61,6 @@
         metrics_.observe("boragelug_directory_read_seconds", seconds.count(), {});
     }
     handler_(node_.handleDirectoryAnswer(answer, now()));
-    // The VM has its records: an answer of a relay is no longer needed.
-    if (startCall_ && !node_.isStarting()) {
-        relays_->cancel(*std::exchange(startCall_, std::nullopt));
-    }
     update();
 }
 
@@ -72,14 +70,20 @@
     if (!call) {
         return;
     }
+    // The node has given up the call in progress.
+    if (startCall_) {
+        startRelays_->cancel(*startCall_);
+    }
     metrics_.add("boragelug_relay_calls_total", 1, {});
     startCall_ = call->id;
-    relays_->call(*call, [this](const DirectoryAnswer &answer) { handleStartAnswer(answer); });
+    startRelays_->call(*call, [this](const DirectoryAnswer &answer) { handleStartAnswer(answer); });
 }
 
 void DirectoryCalls::handleStartAnswer(const DirectoryAnswer &answer)
 {
-    startCall_.reset();
+    if (startCall_ == answer.callId) {
+        startCall_.reset();
+    }
     handler_(node_.handleStartAnswer(answer, now()));
     // The records of the relay replace a listing in progress.
     if (directoryCall_ && !node_.isStarting()) {
--- a/programs/directory_calls.h
+++ b/programs/directory_calls.h
@@ -25,19 +25,21 @@
     /// Receives the events of each answer, after the node has taken it.
     using Handler = std::function<void(std::vector<NodeEvent>)>;
 
-    /// @p relays may be null; then the node must have no relays. The references must outlive this.
+    /// @p relays and @p startRelays may be null; then the node must have no relays. They make one call at a time each, so
+    /// that the calls of the start need an object of their own. The references must outlive this.
     DirectoryCalls(AsioRuntime &runtime,
                    TaggedNode &node,
                    Directory &directory,
                    Directory *relays,
+                   Directory *startRelays,
                    PrometheusMetrics &metrics,
                    Handler handler);
 
-    /// Makes the calls that are due, and later ones when they become due.
-    void start() { update(); }
+    /// Makes the calls that are due, and later ones when they become due. To be called after every input of the node
+    /// that isn't an answer to these calls.
+    void update();
 
 private:
-    void update();
     void callDirectory();
     void callRelayForStart();
     void checkListing();
@@ -50,6 +52,7 @@
     TaggedNode &node_;
     Directory &directory_;
     Directory *relays_;
+    Directory *startRelays_;
     PrometheusMetrics &metrics_;
     Handler handler_;
     asio::steady_timer timer_;
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -81,6 +81,7 @@
                       node_,
                       parts.directory,
                       parts.relays,
+                      parts.startRelays,
                       parts.metrics,
                       [this](std::vector<NodeEvent> events) { handleDirectoryEvents(std::move(events)); })
 {
@@ -104,7 +105,7 @@
     parts_.runtime.onSignal(SIGINT, [this] { handleStopSignal(); });
     parts_.runtime.onSignal(SIGHUP, [this] { reloadSettings(); });
     listenToFollowers();
-    directoryCalls_.start();
+    directoryCalls_.update();
     parts_.fabric.start(
         [this](const FlowPacket &head, std::span<const std::byte> packet) { receivePacket(head, packet); });
     parts_.logBuffer.drain();
@@ -169,6 +170,7 @@
     parts_.relayListener->start({ .onRequest =
                                       [this](FollowerId follower, const FollowRequest &request) {
                                           node_.handleFollower(follower, request, now());
+                                          directoryCalls_.update();
                                           answerFollowers();
                                       },
                                   .onGone = [this](FollowerId follower) { node_.dropFollower(follower); } });
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -30,8 +30,9 @@
     FlowFabric &fabric;
     ReachabilityProbe &probe;
     Directory &directory;
-    /// Asks other VMs; both null where each VM reads for itself.
+    /// Ask other VMs, in operation and during the start; all null where each VM reads for itself.
     Directory *relays = nullptr;
+    Directory *startRelays = nullptr;
     RelayListener *relayListener = nullptr;
     PrometheusMetrics &metrics;
     EventRecorder &events;
--- a/tests/drivers/relay_test.cpp
+++ b/tests/drivers/relay_test.cpp
@@ -209,6 +209,27 @@
     EXPECT_TRUE(next && std::holds_alternative<DirectoryChanges>(next->result));
 }
 
+// Guards a caller that waits for an answer when another call starts: its call must end, or it would wait for ever.
+TEST_F(RelayDriversTest, EndsACallThatIsReplaced)
+{
+    answers = false;
+    DirectoryCall call;
+    call.kind = DirectoryCall::Kind::Follow;
+    call.relay = listener.localEndpoint();
+    call.timeout = 10s;
+    std::vector<std::uint64_t> failed;
+    for (call.id = 100; call.id <= 102; ++call.id) {
+        directory.call(call, [&](const DirectoryAnswer &answer) {
+            EXPECT_TRUE(std::holds_alternative<DirectoryFailure>(answer.result));
+            failed.push_back(answer.callId);
+        });
+    }
+    EXPECT_TRUE(failed.empty()) << "answers from within call()";
+    EXPECT_TRUE(runUntil(context, [&] { return failed.size() >= 2; }));
+    directory.cancel(102);
+    EXPECT_EQ(failed, (std::vector<std::uint64_t> { 100, 101 }));
+}
+
 // Guards the same for a relay whose process is gone.
 TEST_F(RelayDriversTest, FailsAtOnceWhereNothingListens)
 {
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -80,6 +80,7 @@
     call.catalogue = mirror_.catalogueVersion();
     call.wait = settings_.follow.followWait;
     call.timeout = call.wait + settings_.follow.answerMargin;
+    call.connectTimeout = settings_.follow.connectTimeout;
     return call;
 }
 
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -27,6 +27,8 @@
     Duration followWait = std::chrono::milliseconds(500);
     /// Time for a relay's answer beyond the wait.
     Duration answerMargin = std::chrono::milliseconds(300);
+    /// Timeout of the connection to a relay, which may be without power.
+    Duration connectTimeout = std::chrono::milliseconds(100);
     /// Maximum staleness of a relay's records. If they are older, the relay counts as cut off from the directory, and
     /// the VM reads the directory itself.
     Duration maxStaleness = std::chrono::milliseconds(1500);
--- a/views/relay_start.cpp
+++ b/views/relay_start.cpp
@@ -8,8 +8,7 @@
 RelayStart::RelayStart(std::vector<Endpoint> relays, const RelayStartSettings &settings, Random &random)
     : relays_(std::move(relays))
     , settings_(settings)
-    , hasFailed_(relays_.empty())
-    , stopped_(relays_.empty())
+    , phase_(relays_.empty() ? Phase::Stopped : Phase::Asking)
 {
     if (!relays_.empty()) {
         nextRelay_ = random.below(relays_.size());
@@ -18,7 +17,7 @@
 
 std::optional<DirectoryCall> RelayStart::nextCall(TimePoint now)
 {
-    if (stopped_ || inProgress_ || now < nextAt_) {
+    if (isStopped() || inProgress_ || now < nextAt_) {
         return std::nullopt;
     }
     DirectoryCall call;
@@ -28,21 +27,62 @@
     call.wait = settings_.wait;
     call.timeout = settings_.wait + settings_.transferTime;
     call.connectTimeout = settings_.connectTimeout;
+    if (phase_ == Phase::Announcing) {
+        call.after = announcedRevision_;
+        call.wait = Duration::zero();
+        call.timeout = settings_.announceTimeout;
+    }
     inProgress_ = call;
     return call;
 }
 
 std::optional<TimePoint> RelayStart::nextCallAt() const
 {
-    return stopped_ || inProgress_ ? std::nullopt : std::optional(nextAt_);
+    return isStopped() || inProgress_ ? std::nullopt : std::optional(nextAt_);
 }
 
-void RelayStart::fail(const std::string &reason, TimePoint now, Result &result)
+void RelayStart::handleAnnouncement(const Endpoint &vm, TimePoint now)
 {
-    hasFailed_ = true;
-    result.failure = reason;
-    referral_.reset();
+    if (phase_ != Phase::Asking || referral_) {
+        return;
+    }
+    referral_ = vm;
     hops_ = 0;
+    inProgress_.reset();
+    nextAt_ = now;
+}
+
+void RelayStart::announce(DirectoryRevision revision, TimePoint now)
+{
+    if (phase_ != Phase::Asking) {
+        return;
+    }
+    phase_ = Phase::Announcing;
+    announcedRevision_ = revision;
+    announceUntil_ = now + settings_.announceTime;
+    referral_.reset();
+    inProgress_.reset();
+    failuresInTurn_ = 0;
+    nextAt_ = now;
+}
+
+void RelayStart::handleAnnounced(const DirectoryAnswer &answer, TimePoint now)
+{
+    if (std::holds_alternative<DirectoryChanges>(answer.result)) {
+        reached_.insert(inProgress_->relay);
+    }
+    inProgress_.reset();
+    if (reached_.size() == relays_.size() || now >= announceUntil_) {
+        stop();
+        return;
+    }
+    do {
+        chooseNextRelay(now);
+    } while (reached_.contains(relays_[nextRelay_]));
+}
+
+void RelayStart::chooseNextRelay(TimePoint now)
+{
     nextRelay_ = (nextRelay_ + 1) % relays_.size();
     nextAt_ = now;
     if (++failuresInTurn_ >= relays_.size()) {
@@ -51,6 +91,14 @@
     }
 }
 
+void RelayStart::fail(const std::string &reason, TimePoint now, Result &result)
+{
+    result.failure = reason;
+    referral_.reset();
+    hops_ = 0;
+    chooseNextRelay(now);
+}
+
 RelayStart::Result RelayStart::handleAnswer(const DirectoryAnswer &answer, TimePoint now)
 {
     Result result;
@@ -58,6 +106,10 @@
         return result;
     }
     result.relay = inProgress_->relay;
+    if (phase_ == Phase::Announcing) {
+        handleAnnounced(answer, now);
+        return result;
+    }
     const auto *changes = std::get_if<DirectoryChanges>(&answer.result);
     if (const auto *failure = std::get_if<DirectoryFailure>(&answer.result)) {
         fail(failure->detail, now, result);
--- a/views/relay_start.h
+++ b/views/relay_start.h
@@ -5,13 +5,14 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace boragelug
 {
 
-/// How a VM without records asks relays for them.
+/// How a VM without records asks relays for them, and how it announces its own.
 struct RelayStartSettings
 {
     /// How long a relay that has no records itself yet may hold the request.
@@ -25,12 +26,19 @@
     Duration retryInterval = std::chrono::milliseconds(20);
     /// Maximum number of referrals to another VM that are followed after a relay was chosen from the list.
     std::uint32_t maxHops = 6;
+    /// Timeout of an announcement, whose answer has no records.
+    Duration announceTimeout = std::chrono::milliseconds(200);
+    /// How long a VM announces its records to relays that it can't reach.
+    Duration announceTime = std::chrono::milliseconds(1500);
 };
 
 /**
  * Decides which relay a VM without records asks for all of them. Relays may be without power themselves, may have no
  * records yet, or may refer to another VM.
  *
+ * A VM that got its records from the directory announces them to each relay: one that starts later than the others can
+ * then take them, and serve the VMs that wait for it, without a listing of its own.
+ *
  * Has at most one call in progress. Does no I/O. Not synchronized: one thread at a time; times must not go back.
  */
 class RelayStart
@@ -60,13 +68,23 @@
     /// Takes the answer to the call in progress; answers to other calls are ignored.
     Result handleAnswer(const DirectoryAnswer &answer, TimePoint now);
 
-    /// Whether a relay failed, or there is none: the records should be read from the directory too.
-    bool hasFailed() const { return hasFailed_; }
+    /// A VM with all records announced itself: it is asked next, in place of a call in progress to a VM of the list.
+    /// Ignored unless this VM still asks.
+    void handleAnnouncement(const Endpoint &vm, TimePoint now);
+
+    /// This VM has all records up to @p revision from the directory: it announces them to the relays.
+    void announce(DirectoryRevision revision, TimePoint now);
 
-    /// Makes no more calls: the VM has its records.
-    void stop() { stopped_ = true; }
+    /// Makes no more calls: the VM has its records from a relay.
+    void stop() { phase_ = Phase::Stopped; }
+
+    bool isStopped() const { return phase_ == Phase::Stopped; }
 
 private:
+    enum class Phase : std::uint8_t { Asking, Announcing, Stopped };
+
+    void handleAnnounced(const DirectoryAnswer &answer, TimePoint now);
+    void chooseNextRelay(TimePoint now);
     void fail(const std::string &reason, TimePoint now, Result &result);
 
     std::vector<Endpoint> relays_;
@@ -76,12 +94,16 @@
     std::size_t nextRelay_ = 0;
     /// Relays that failed since the last pause.
     std::size_t failuresInTurn_ = 0;
-    /// The VM that a relay referred to, and the number of referrals since a relay was chosen from the list.
+    /// The VM that a relay referred to or that announced itself, and the number of referrals since a relay was chosen
+    /// from the list.
     std::optional<Endpoint> referral_;
     std::uint32_t hops_ = 0;
     TimePoint nextAt_;
-    bool hasFailed_ = false;
-    bool stopped_ = false;
+    Phase phase_ = Phase::Asking;
+    /// Announcing: what the VM has, until when it tries, and the relays that were reached.
+    DirectoryRevision announcedRevision_;
+    TimePoint announceUntil_;
+    std::set<Endpoint> reached_;
 };
 
 } // namespace boragelug
