Check a silent upstream after one unanswered packet, and reset its flows at once

A VM of 295 has one or two flows at a host, so that the two unanswered packets which the active check required rarely came together: 1,089 idempotent requests waited until their callers' timeout of 4 s. Change: one unanswered packet starts the active check; when it fails and another upstream of the zone progressed since, the VM resets all idempotent flows that it knows at the upstream, without waiting for a packet of the caller. Tests: SilentUpstreamTest.ResetsItsFlowsWithoutAPacketOfTheCaller and two more; they fail without the change.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -405,6 +405,20 @@
                            { "answered", answered ? "yes" : "no" } } } };
 }
 
+std::vector<SilentFlow> TaggedNode::takeSilentFlows(TimePoint now, std::vector<NodeEvent> &events)
+{
+    std::vector<SilentFlow> flows;
+    if (!reader_.isFresh(now)) {
+        return flows;
+    }
+    flows = router_.takeSilentFlows(now);
+    for (const SilentFlow &flow : flows) {
+        const ResetFlow reset { .reason = TaggedRefusal::SilentUpstream, .upstream = flow.upstream };
+        appendDecisionEvent(flow.head, reset, std::nullopt, now, events);
+    }
+    return flows;
+}
+
 std::vector<NodeEvent> TaggedNode::tick(TimePoint now)
 {
     std::vector<NodeEvent> events;
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -135,6 +135,9 @@
     /// Handles the result of a health check; @p answered is false only if nothing at all came back in time.
     std::vector<NodeEvent> handleCheckResult(const UpstreamCheck &check, bool answered, TimePoint now);
 
+    /// Flows that have to be reset because their upstream fell silent. To be called after each check result and tick.
+    std::vector<SilentFlow> takeSilentFlows(TimePoint now, std::vector<NodeEvent> &events);
+
     /// Runs periodic work: expires upstreams and flows and updates ejections. To be called every 100 ms.
     std::vector<NodeEvent> tick(TimePoint now);
 
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -148,10 +148,20 @@
         parts_.metrics.add("boragelug_upstream_checks_total", 1, {});
         parts_.probe.check(check.address, [this, check](Reachability result) {
             record(node_.handleCheckResult(check, result != Reachability::Silent, now()));
+            resetSilentFlows();
         });
     }
 }
 
+void TaggedProcess::resetSilentFlows()
+{
+    std::vector<NodeEvent> events;
+    for (const SilentFlow &flow : node_.takeSilentFlows(now(), events)) {
+        carryOut(ResetFlow { .reason = TaggedRefusal::SilentUpstream, .upstream = flow.upstream }, flow.head, {});
+    }
+    record(std::move(events));
+}
+
 void TaggedProcess::handleDirectoryEvents(std::vector<NodeEvent> events)
 {
     record(std::move(events));
@@ -189,6 +199,7 @@
 void TaggedProcess::tick()
 {
     record(node_.tick(now()));
+    resetSilentFlows();
     answerFollowers();
     packetEvents_.clear();
     releasePackets();
--- a/programs/tagged_process.h
+++ b/programs/tagged_process.h
@@ -62,6 +62,7 @@
     void carryOut(const TaggedDecision &decision, const FlowPacket &head, std::span<const std::byte> packet);
     void releasePackets();
     void checkUpstreams();
+    void resetSilentFlows();
     void handleDirectoryEvents(std::vector<NodeEvent> events);
     void listenToFollowers();
     void answerFollowers();
--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -33,7 +33,7 @@
 
 bool beginCheckIfDue(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
 {
-    if (health.consecutiveUnanswered < settings.unansweredToEject
+    if (health.consecutiveUnanswered < settings.unansweredToCheck
         || now - health.checkRequestedAt < settings.checkInterval) {
         return false;
     }
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -5,6 +5,7 @@
 #include "routing/sequence_number.h"
 
 #include <algorithm>
+#include <set>
 
 namespace boragelug
 {
@@ -325,8 +326,8 @@
 }
 
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
-// reset requires unanswered packets of several flows, an active check without a response, and progress of another
-// upstream of the zone.
+// reset requires an unanswered packet, an active check without a response, and progress of another upstream of the zone
+// since then.
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
     if (!isSilent(upstream.health, settings_.health, now)) {
@@ -357,9 +358,47 @@
 void TaggedRouter::recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now)
 {
     const auto found = upstreams_.find({ check.upstream.value, check.incarnation.value });
-    if (found != upstreams_.end()) {
-        boragelug::recordCheckResult(found->second->health, answered, now);
+    if (found == upstreams_.end()) {
+        return;
     }
+    boragelug::recordCheckResult(found->second->health, answered, now);
+    if (isSilent(found->second->health, settings_.health, now)) {
+        silentUpstreams_.push_back(found->second);
+    }
+}
+
+std::vector<SilentFlow> TaggedRouter::takeSilentFlows(TimePoint now)
+{
+    std::vector<SilentFlow> silent;
+    std::set<const TrackedUpstream *> confirmed;
+    std::erase_if(silentUpstreams_, [&](const auto &upstream) {
+        if (isConfirmedSilent(*upstream, now)) {
+            confirmed.insert(upstream.get());
+        }
+        return confirmed.contains(upstream.get()) || !isSilent(upstream->health, settings_.health, now);
+    });
+    if (confirmed.empty()) {
+        return silent;
+    }
+    for (auto it = flows_.begin(); it != flows_.end();) {
+        const auto &[caller, address] = it->first;
+        Flow &flow = it->second;
+        const DirectoryEntry *entry = flow.phase == FlowPhase::Open ? findEntry(address) : nullptr;
+        if (entry == nullptr || !entry->idempotent || !confirmed.contains(flow.upstream.get())) {
+            ++it;
+            continue;
+        }
+        FlowPacket head;
+        head.caller = caller;
+        head.entry = address;
+        head.ack = true;
+        head.acknowledged = flow.acknowledged;
+        silent.push_back({ .head = head, .upstream = flow.upstream->status.upstream.id });
+        ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::SilentUpstream));
+        unassignUpstream(flow);
+        flows_.erase(it++);
+    }
+    return silent;
 }
 
 std::vector<EjectionChange> TaggedRouter::tick(TimePoint now)
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -155,6 +155,14 @@
     Endpoint address;
 };
 
+/// A flow that is reset because its upstream fell silent.
+struct SilentFlow
+{
+    /// Caller, entry and acknowledged sequence number of the flow, from which the reset is made.
+    FlowPacket head;
+    UpstreamId upstream;
+};
+
 /// An upstream was ejected, or returned to placement.
 struct EjectionChange
 {
@@ -204,6 +212,10 @@
     /// Records the result of a health check. @p answered is false only if nothing at all came back in time.
     void recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now);
 
+    /// Flows of silent upstreams that have to be reset, so that their callers need not retransmit until then. To be called
+    /// after recordCheckResult() and each tick.
+    std::vector<SilentFlow> takeSilentFlows(TimePoint now);
+
     /// Upstreams that have flows on this VM or are ejected.
     std::vector<UpstreamUsage> usage() const;
 
@@ -304,6 +316,8 @@
     absl::flat_hash_map<FlowId, Flow> flows_;
     std::map<ServiceId, ServiceAdmission> admissions_;
     std::vector<UpstreamCheck> checks_;
+    /// Upstreams whose last check failed, and whose flows were not reset yet.
+    std::vector<std::shared_ptr<TrackedUpstream>> silentUpstreams_;
     TimePoint nextSweep_;
     TaggedCounters counters_;
 };
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -347,6 +347,53 @@
     EXPECT_TRUE(isReset(data(syn(1, 7), tagOf(1), 0, 1))) << "a flow that this VM sees for the first time";
 }
 
+// In a large fleet a VM has one flow at an upstream: a single unanswered packet must suffice for the active check, or
+// the caller waits until its timeout.
+TEST_F(TaggedRouterTest, ChecksAnUpstreamAfterOneUnansweredPacket)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowTag tag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    route(data(syn(1, 1), tag, 0, 1));
+    EXPECT_TRUE(router.takeChecks().empty());
+    now += 200ms;
+    route(data(syn(1, 1), tag, 0, 1));
+    ASSERT_EQ(router.takeChecks().size(), 1U);
+}
+
+// Callers of an upstream that crashed must be told as soon as that is known. With the reset of their next packet only,
+// they lose up to 1.6 s until they retransmit.
+TEST_F(SilentUpstreamTest, ResetsItsFlowsWithoutAPacketOfTheCaller)
+{
+    route(data(syn(1, 3), tagOf(1), 0, 1));
+    route(data(syn(1, 4, inspectionEntry), tagOf(3), 0, 1));
+    otherUpstreamProgresses();
+    answerChecks(false);
+    EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "no progress of another upstream since the check";
+    otherUpstreamProgresses();
+    std::set<std::uint16_t> ports;
+    for (const SilentFlow &flow : router.takeSilentFlows(now)) {
+        EXPECT_EQ(flow.upstream, UpstreamId { 1 });
+        EXPECT_EQ(flow.head.entry, ledgerEntry);
+        EXPECT_EQ(flow.head.acknowledged, 1U);
+        ports.insert(flow.head.caller.port.value);
+    }
+    EXPECT_EQ(ports, (std::set<std::uint16_t> { 1, 2, 3 }));
+    EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "reset twice";
+}
+
+// Flows of an upstream that answers again, and requests that aren't idempotent, must not be reset.
+TEST_F(SilentUpstreamTest, ResetsNoFlowOfALiveUpstreamOrOfAnotherEntry)
+{
+    otherUpstreamProgresses();
+    answerChecks(false);
+    route(data(syn(1, 2), tagOf(1), 100, 500));
+    otherUpstreamProgresses();
+    EXPECT_TRUE(router.takeSilentFlows(now).empty());
+    now += 3s;
+    otherUpstreamProgresses();
+    EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "the check's result has expired";
+}
+
 // Flows of a live upstream must not be reset. Without a failed active check, unanswered packets are not enough
 // evidence.
 TEST_F(SilentUpstreamTest, WithholdsTheResetWithoutAFailedCheck)
