Bound the listings of a start by bandwidth, not by the number of VMs

A directory with a latency of 0.4 s was taken for a crowded one. Change: the probability of going on falls with the cube of the bandwidth that a listing got; the delay doubles with each abandoned one; a VM whose request a relay holds starts no listing; progress counts from the first byte.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -282,6 +282,14 @@
     return age ? milliseconds(*age) : "none";
 }
 
+std::optional<DirectoryCall> TaggedNode::nextCall(TimePoint now)
+{
+    if (const auto heldUntil = start_.heldUntil(now)) {
+        reader_.postponeListing(*heldUntil);
+    }
+    return reader_.nextCall(now);
+}
+
 std::vector<NodeEvent> TaggedNode::handleDirectoryAnswer(const DirectoryAnswer &answer, TimePoint now)
 {
     std::vector<NodeEvent> events;
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -91,7 +91,7 @@
 
     /// The call to the directory that is due; std::nullopt if none is. To be called after every input and at
     /// nextCallAt().
-    std::optional<DirectoryCall> nextCall(TimePoint now) { return reader_.nextCall(now); }
+    std::optional<DirectoryCall> nextCall(TimePoint now);
 
     /// When nextCall() is due; std::nullopt while a call is in progress.
     std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -271,31 +271,54 @@
     EXPECT_TRUE(relay.nextCall(now));
 }
 
-// Guards the start of a large fleet: where all VMs list at once, each gets a small part of the directory's bandwidth,
-// and none would complete soon. Most of them must abandon their listings, so that the others complete.
-TEST(ListingProgress, AbandonsSlowListingsInProportion)
+/// Number of VMs of 1,000 that abandon a listing which got @p fraction of their link's bandwidth.
+std::size_t abandonedAt(double fraction)
 {
+    constexpr double bandwidth = 2'500'000;
     std::size_t abandoned = 0;
-    constexpr std::size_t vms = 1000;
-    for (std::size_t i = 0; i < vms; ++i) {
-        Random random(i);
+    for (std::uint64_t vm = 0; vm < 1000; ++vm) {
+        Random random(vm);
         DirectoryMirror mirror({ "kgd-north" });
         ReaderSettings settings = Vm::readerSettings(plainVm);
-        settings.listing.linkBandwidth = 2'500'000;
+        settings.listing.linkBandwidth = bandwidth;
         DirectoryReader reader(mirror, settings);
-        TimePoint now { 100s };
-        ASSERT_TRUE(reader.nextCall(now));
-        ASSERT_TRUE(reader.listingCheckAt());
-        now = *reader.listingCheckAt();
-        // A tenth of what the link could carry.
-        if (reader.abandonsListing(25'000, now, random)) {
+        const TimePoint start { 100s };
+        EXPECT_TRUE(reader.nextCall(start));
+        const TimePoint now = *reader.listingCheckAt();
+        const std::chrono::duration<double> elapsed = now - start;
+        const auto bytes = static_cast<std::size_t>(fraction * bandwidth * elapsed.count());
+        if (reader.abandonsListing(bytes, now, random)) {
             ++abandoned;
             EXPECT_FALSE(reader.listingCheckAt());
             EXPECT_GT(*reader.nextCallAt(), now);
         }
     }
-    EXPECT_GT(abandoned, vms * 7 / 10);
-    EXPECT_LT(abandoned, vms * 9 / 10);
+    return abandoned;
+}
+
+// Guards the start of a large fleet: where all VMs list at once, each gets a small part of the directory's bandwidth,
+// and none would complete soon. Nearly all must abandon their listings; where each gets nearly enough, only some.
+TEST(ListingProgress, AbandonsSlowListings)
+{
+    EXPECT_GT(abandonedAt(0.1), 900U);
+    EXPECT_GT(abandonedAt(0.4), 300U);
+    EXPECT_LT(abandonedAt(0.4), 700U);
+    EXPECT_EQ(abandonedAt(0.6), 0U);
+}
+
+// Guards VMs that start while the directory is slow: an answer that has not begun says nothing about bandwidth.
+TEST(ListingProgress, WaitsForTheFirstByte)
+{
+    Random random(1);
+    DirectoryMirror mirror({ "kgd-north" });
+    ReaderSettings settings = Vm::readerSettings(plainVm);
+    settings.listing.linkBandwidth = 2'500'000;
+    DirectoryReader reader(mirror, settings);
+    ASSERT_TRUE(reader.nextCall(TimePoint { 100s }));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_FALSE(reader.abandonsListing(0, *reader.listingCheckAt(), random));
+    }
+    EXPECT_FALSE(reader.abandonsListing(200'000, *reader.listingCheckAt(), random));
 }
 
 // Guards small fleets, whose VMs use their links fully, and relays, on which the others wait.
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -98,6 +98,7 @@
     call.afterKey = afterKey_;
     call.timeout = settings_.answerMargin;
     checkAt_ = now + settings_.listing.checkInterval;
+    transferSince_ = now;
     return call;
 }
 
@@ -231,6 +232,13 @@
     }
 }
 
+void DirectoryReader::postponeListing(TimePoint until)
+{
+    if (!listed_ && !inProgress_ && !isRelay_) {
+        nextAt_ = std::max(nextAt_, until);
+    }
+}
+
 bool DirectoryReader::adoptRecords(const Endpoint &relay,
                                    const DirectoryChanges &records,
                                    TimePoint now,
@@ -281,15 +289,21 @@
 bool DirectoryReader::abandonsListing(std::size_t receivedBytes, TimePoint now, Random &random)
 {
     checkAt_ = now + settings_.listing.checkInterval;
-    const std::chrono::duration<double> elapsed = now - startedAt_;
+    if (receivedBytes == 0) {
+        // The directory is slow to answer, which says nothing about its bandwidth.
+        transferSince_ = now;
+        return false;
+    }
+    const std::chrono::duration<double> elapsed = now - transferSince_;
     const double possibleBytes = settings_.listing.linkBandwidth * elapsed.count();
     const double fraction = possibleBytes > 0 ? static_cast<double>(receivedBytes) / possibleBytes : 1;
-    if (random.chance(fraction / settings_.listing.minLinkFraction)) {
+    const double relative = fraction / settings_.listing.minLinkFraction;
+    if (random.chance(relative * relative * relative)) {
         return false;
     }
-    ++abandoned_;
     inProgress_.reset();
-    const std::chrono::duration<double, std::nano> delay = settings_.listing.retryDelay;
+    const std::uint32_t doublings = std::min<std::uint32_t>(abandoned_++, 8);
+    const std::chrono::duration<double, std::nano> delay = settings_.listing.retryDelay * (1U << doublings);
     nextAt_ = now + std::chrono::duration_cast<Duration>(delay * (0.5 + random.unit()));
     return true;
 }
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -60,9 +60,10 @@
     /// Interval at which the progress of a listing is checked.
     Duration checkInterval = std::chrono::milliseconds(100);
     /// A listing that gets at least this fraction of the link's bandwidth continues. With less it continues with a
-    /// probability in proportion to what it got, so that those that remain can use their links fully.
+    /// probability that falls with the cube of what it got, so that those that remain leave bandwidth to VMs with
+    /// faster links, which complete first.
     double minLinkFraction = 0.5;
-    /// Mean time until an abandoned listing is started again.
+    /// Mean time until an abandoned listing is started again; doubles with each further one.
     Duration retryDelay = std::chrono::milliseconds(600);
 };
 
@@ -143,6 +144,9 @@
     /// Starts the first listing without waiting for relays.
     void listAtOnce(TimePoint now);
 
+    /// Starts no listing before @p until, because a relay is about to send all records.
+    void postponeListing(TimePoint until);
+
     /// Takes all records of a relay in place of a listing. Returns false, and takes nothing, if this VM has all records
     /// already, or if those of the relay are too stale.
     bool adoptRecords(const Endpoint &relay, const DirectoryChanges &records, TimePoint now, Random &random);
@@ -204,8 +208,9 @@
     std::optional<DirectoryCall> inProgress_;
     TimePoint startedAt_;
     TimePoint nextAt_;
-    /// Next check of the listing in progress.
+    /// Next check of the listing in progress, and the latest time at which nothing of its answer had arrived.
     TimePoint checkAt_;
+    TimePoint transferSince_;
     bool wasAsked_ = false;
     /// Listings that were abandoned.
     std::uint32_t abandoned_ = 0;
--- a/views/relay_start.cpp
+++ b/views/relay_start.cpp
@@ -33,9 +33,16 @@
         call.timeout = settings_.announceTimeout;
     }
     inProgress_ = call;
+    startedAt_ = now;
     return call;
 }
 
+std::optional<TimePoint> RelayStart::heldUntil(TimePoint now) const
+{
+    const bool isHeld = phase_ == Phase::Asking && inProgress_ && now - startedAt_ > settings_.connectTimeout;
+    return isHeld ? std::optional(startedAt_ + settings_.wait) : std::nullopt;
+}
+
 std::optional<TimePoint> RelayStart::nextCallAt() const
 {
     return isStopped() || inProgress_ ? std::nullopt : std::optional(nextAt_);
--- a/views/relay_start.h
+++ b/views/relay_start.h
@@ -78,6 +78,10 @@
     /// Makes no more calls: the VM has its records from a relay.
     void stop() { phase_ = Phase::Stopped; }
 
+    /// Until when a relay may hold the request in progress; std::nullopt if none does. A call that is older than the
+    /// connection timeout has reached a relay.
+    std::optional<TimePoint> heldUntil(TimePoint now) const;
+
     bool isStopped() const { return phase_ == Phase::Stopped; }
 
 private:
@@ -90,6 +94,7 @@
     std::vector<Endpoint> relays_;
     RelayStartSettings settings_;
     std::optional<DirectoryCall> inProgress_;
+    TimePoint startedAt_;
     std::uint64_t lastId_ = 0;
     std::size_t nextRelay_ = 0;
     /// Relays that failed since the last pause.
