Recognize crashed upstreams by reused addresses and stalled requests; survive faulty handlers

From reading: an exception in any callback ended the process; a relay that ran out of descriptors accepted in a busy loop; a VM that was stopped exited with requests in its queue; a VM that started while the directory was away took the records of the first relay, however old. Change: an upstream whose address is listed for a later one counts as ended; an idempotent request without an answer for its objective and 0.5 s leads to an active check. Exceptions that leave a callback are logged (handler_failed), counted, and the callback's chain goes on; accepting pauses after an error. A drain forwards queued requests at once and queues no more. A VM without a directory asks all relays and takes the latest records.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -23,6 +23,8 @@
         return "settings_reloaded";
     case EventNumber::SettingsRejected:
         return "settings_rejected";
+    case EventNumber::HandlerFailed:
+        return "handler_failed";
     case EventNumber::CatalogueAdopted:
         return "catalogue_adopted";
     case EventNumber::CatalogueRejected:
--- a/core/event.h
+++ b/core/event.h
@@ -25,6 +25,7 @@
     ProcessSlept = 104,
     SettingsReloaded = 105,
     SettingsRejected = 106,
+    HandlerFailed = 107,
     CatalogueAdopted = 200,
     CatalogueRejected = 201,
     CatalogueStale = 202,
--- a/core/event_severity.cpp
+++ b/core/event_severity.cpp
@@ -22,6 +22,7 @@
 {
     switch (number) {
     case EventNumber::SettingsRejected:
+    case EventNumber::HandlerFailed:
     case EventNumber::CatalogueRejected:
         return EventSeverity::Error;
     case EventNumber::ProcessSlept:
--- a/drivers/admin_server.cpp
+++ b/drivers/admin_server.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <set>
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -149,8 +150,8 @@
                 self->acceptLater();
                 return;
             }
+            const absl::Cleanup next = [&self] { self->accept(); };
             self->accepted(std::move(socket));
-            self->accept();
         });
     }
 
--- a/drivers/asio_runtime.cpp
+++ b/drivers/asio_runtime.cpp
@@ -1,10 +1,12 @@
 #include "drivers/asio_runtime.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/steady_timer.hpp>
 
 #include <cassert>
 #include <chrono>
 #include <ctime>
+#include <exception>
 #include <utility>
 
 namespace boragelug
@@ -34,8 +36,9 @@
         timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(interval));
         timer.async_wait([this](const asio::error_code &error) {
             if (!error) {
+                // Also after an exception of the callback.
+                const absl::Cleanup next = [this] { wait(); };
                 callback();
-                wait();
             }
         });
     }
@@ -50,8 +53,8 @@
     {
         signals.async_wait([this](const asio::error_code &error, int) {
             if (!error) {
+                const absl::Cleanup next = [this] { wait(); };
                 callback();
-                wait();
             }
         });
     }
@@ -77,7 +80,16 @@
 
 void AsioRuntime::run()
 {
-    context_.run();
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception &error) {
+            if (!faultHandler_) {
+                throw;
+            }
+            faultHandler_(error.what());
+        }
+    }
 }
 
 void AsioRuntime::stop()
--- a/drivers/asio_runtime.h
+++ b/drivers/asio_runtime.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace boragelug
@@ -43,6 +45,10 @@
     /// Calls @p callback each time that the process receives @p signal.
     void onSignal(int signal, std::function<void()> callback);
 
+    /// Receives the text of each exception that leaves a callback. One faulty message then costs its own work only: the
+    /// process and all other callbacks go on. Without a handler, exceptions leave run().
+    void onFault(std::function<void(std::string_view)> handler) { faultHandler_ = std::move(handler); }
+
     /// Runs callbacks until stop().
     void run();
 
@@ -57,6 +63,7 @@
     BootTimeClock clock_;
     std::vector<std::unique_ptr<Periodic>> periodics_;
     std::vector<std::unique_ptr<SignalWait>> signals_;
+    std::function<void(std::string_view)> faultHandler_;
 };
 
 } // namespace boragelug
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 57> definitions { {
+constexpr std::array<MetricDefinition, 58> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_admission_limit", "Requests that this VM lets a service work on at once, by service.", perService },
@@ -45,6 +45,7 @@
     { "boragelug_followers", "VMs that learn of the directory from this one.", single },
     { "boragelug_followers_refused_total", "Connections of followers beyond the bound.", single },
     { "boragelug_following", "1 if this VM learns of the directory from another one, otherwise 0.", single },
+    { "boragelug_handler_failures_total", "Exceptions that left a callback; the process went on.", single },
     { "boragelug_imbalance", "Load of the most loaded upstream divided by the mean, by service.", perService },
     { "boragelug_members", "Peers, by health.", perReason },
     { "boragelug_metric_updates_lost_total", "Updates of metrics that were folded or dropped, by reason.", perReason },
--- a/drivers/tcp_relay_listener.cpp
+++ b/drivers/tcp_relay_listener.cpp
@@ -3,6 +3,7 @@
 #include "drivers/relay_codec.h"
 #include "drivers/udp_socket.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -21,6 +22,8 @@
 constexpr std::size_t maxRequestBytes = 1024;
 /// A follower that neither asks nor takes its answer for this long is gone: it asks about twice a second.
 constexpr Duration idleTimeout = std::chrono::seconds(10);
+/// Delay until connections are accepted again after an error.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -126,6 +129,7 @@
 
 TcpRelayListener::TcpRelayListener(asio::io_context &context, const Endpoint &local, MetricSink &metrics)
     : acceptor_(context, toTcpEndpoint(local))
+    , acceptTimer_(context)
     , metrics_(metrics)
     , alive_(std::make_shared<bool>(true))
 { }
@@ -150,7 +154,13 @@
         if (!*alive || error == asio::error::operation_aborted) {
             return;
         }
-        if (!error && connections_.size() < maxConnections) {
+        if (error) {
+            // Too many open descriptors, for example: to try again at once would keep the process busy.
+            acceptLater();
+            return;
+        }
+        const absl::Cleanup next = [this] { accept(); };
+        if (connections_.size() < maxConnections) {
             const FollowerId id { ++lastId_ };
             const auto connection = std::make_shared<Connection>(std::move(socket), id, *this);
             connections_.emplace(id, connection);
@@ -159,7 +169,16 @@
             // The refused follower reads the directory for itself.
             metrics_.add("boragelug_followers_refused_total", 1, {});
         }
-        accept();
+    });
+}
+
+void TcpRelayListener::acceptLater()
+{
+    acceptTimer_.expires_after(acceptRetryDelay);
+    acceptTimer_.async_wait([this, alive = alive_](const asio::error_code &error) {
+        if (*alive && !error) {
+            accept();
+        }
     });
 }
 
--- a/drivers/tcp_relay_listener.h
+++ b/drivers/tcp_relay_listener.h
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <map>
@@ -39,9 +40,11 @@
     class Connection;
 
     void accept();
+    void acceptLater();
     void remove(FollowerId follower);
 
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
     MetricSink &metrics_;
     Callbacks callbacks_;
     std::uint64_t lastId_ = 0;
--- a/drivers/udp_socket.cpp
+++ b/drivers/udp_socket.cpp
@@ -1,5 +1,6 @@
 #include "drivers/udp_socket.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/buffer.hpp>
 
 #include <utility>
@@ -88,14 +89,16 @@
             if (state->closed) {
                 return;
             }
+            // Also after an exception of the receiver, which may also have destroyed the socket.
+            const absl::Cleanup next = [&state] {
+                if (!state->closed) {
+                    receiveNext(state);
+                }
+            };
             if (!error) {
                 state->receiver(fromUdpEndpoint(state->from), std::span(state->buffer).first(size));
                 receiveWaiting(*state);
             }
-            // The receiver may have destroyed the socket.
-            if (!state->closed) {
-                receiveNext(state);
-            }
         });
 }
 
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -169,8 +169,9 @@
         }
         waiting_.drop(packet);
     }
+    const bool mayQueue = !waiting_.isFull() && !isDraining();
     const TaggedDecision decision = router_.route(
-        packet, { .viewIsFresh = mayReset(packet, waited, now), .mayQueue = !waiting_.isFull(), .waited = waited }, now);
+        packet, { .viewIsFresh = mayReset(packet, waited, now), .mayQueue = mayQueue, .waited = waited }, now);
     if (const auto *queued = std::get_if<QueuePacket>(&decision)) {
         waiting_.add(queued->attributes, packet, bytes, now);
         ++waitedRequests_;
@@ -187,6 +188,9 @@
     if (waiting_.empty() && dequeued.empty()) {
         return dequeued;
     }
+    if (isDraining()) {
+        releaseWaiting(now, dequeued);
+    }
     for (const ServiceId service : waiting_.services()) {
         while (router_.isBelowLimit(service, false, now)) {
             auto request = waiting_.takeNext(service, router_.isBelowLimit(service, true, now), now);
@@ -213,6 +217,17 @@
     return dequeued;
 }
 
+// Before the process exits, queued requests are forwarded whatever the limit: their callers would otherwise notice only
+// by retransmitting that the VM is gone.
+void TaggedNode::releaseWaiting(TimePoint now, std::vector<DequeuedPacket> &dequeued)
+{
+    for (const ServiceId service : waiting_.services()) {
+        while (auto request = waiting_.takeNext(service, true, now)) {
+            routeDequeued(std::move(*request), now, dequeued);
+        }
+    }
+}
+
 void TaggedNode::routeHeld(TimePoint now, std::vector<DequeuedPacket> &dequeued)
 {
     for (HeldPacket &held : held_.takeAll()) {
@@ -303,6 +318,7 @@
     }
     publish(now);
     if (!wasComplete && reader_.isComplete()) {
+        staleRecords_.reset();
         start_.announce(reader_.syncedRevision(), now);
         appendReadyEvent(events);
     }
@@ -316,17 +332,54 @@
     if (!result.failure.empty()) {
         reader_.listAtOnce(now);
     }
-    if (result.records && reader_.adoptRecords(result.relay, *result.records, now, random_)) {
-        events.push_back({ .number = EventNumber::RelayFollowed,
-                           .causeId = 0,
-                           .fields = { { "relay", toString(result.relay) }, { "view_age_ms", viewAgeText(now) } } });
-        publish(now);
-        start_.stop();
-        appendReadyEvent(events);
+    using Acceptance = DirectoryReader::Acceptance;
+    if (!result.records || adoptRecords(result.relay, *result.records, Acceptance::Fresh, now, events)) {
+        adoptStaleRecords(now, events);
+        return events;
+    }
+    const auto upToDateAt = [](const StaleRecords &stale) { return stale.receivedAt - stale.records.age; };
+    StaleRecords stale { .relay = result.relay, .records = *result.records, .receivedAt = now };
+    if (!staleRecords_ || upToDateAt(stale) > upToDateAt(*staleRecords_)) {
+        staleRecords_ = std::move(stale);
     }
+    adoptStaleRecords(now, events);
     return events;
 }
 
+bool TaggedNode::adoptRecords(const Endpoint &relay,
+                              const DirectoryChanges &records,
+                              DirectoryReader::Acceptance acceptance,
+                              TimePoint now,
+                              std::vector<NodeEvent> &events)
+{
+    if (!reader_.adoptRecords(relay, records, acceptance, now, random_)) {
+        return false;
+    }
+    staleRecords_.reset();
+    events.push_back({ .number = EventNumber::RelayFollowed,
+                       .causeId = 0,
+                       .fields = { { "relay", toString(relay) }, { "view_age_ms", viewAgeText(now) } } });
+    publish(now);
+    start_.stop();
+    appendReadyEvent(events);
+    return true;
+}
+
+// Old records may have upstreams and entries that were removed since. Of several relays, the one with the latest records
+// is used, and only while the directory itself can't be read.
+void TaggedNode::adoptStaleRecords(TimePoint now, std::vector<NodeEvent> &events)
+{
+    if (!staleRecords_ || !isStarting() || !start_.hasAskedAll()) {
+        return;
+    }
+    DirectoryChanges records = staleRecords_->records;
+    // The maximum stands for records that were never up to date.
+    if (records.age != Duration::max()) {
+        records.age += now - staleRecords_->receivedAt;
+    }
+    adoptRecords(Endpoint(staleRecords_->relay), records, DirectoryReader::Acceptance::AlsoStale, now, events);
+}
+
 void TaggedNode::appendReadyEvent(std::vector<NodeEvent> &events)
 {
     if (isReady() && !wasReady_) {
@@ -433,6 +486,7 @@
     handleTickGap(now, events);
     lastTick_ = now;
     reader_.setHasFollowers(relay_.followers() > 0);
+    adoptStaleRecords(now, events);
     appendChanges(mirror_.tick(now), events);
     publish(now);
     for (const EjectionChange &change : router_.tick(now)) {
@@ -460,7 +514,8 @@
     if (!drainStart_) {
         return false;
     }
-    const bool isIdle = !lastPacket_ || now - *lastPacket_ >= settings_.drainIdleTime;
+    const bool isIdle =
+        waiting_.empty() && held_.empty() && (!lastPacket_ || now - *lastPacket_ >= settings_.drainIdleTime);
     const Duration elapsed = now - *drainStart_;
     return elapsed >= settings_.drainBound || (isIdle && elapsed >= settings_.fabricDetectionTime);
 }
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -168,7 +168,15 @@
 
 private:
     void publish(TimePoint now);
+    /// Adopts the records of a relay, if the reader takes them.
+    bool adoptRecords(const Endpoint &relay,
+                      const DirectoryChanges &records,
+                      DirectoryReader::Acceptance acceptance,
+                      TimePoint now,
+                      std::vector<NodeEvent> &events);
+    void adoptStaleRecords(TimePoint now, std::vector<NodeEvent> &events);
     void appendReadyEvent(std::vector<NodeEvent> &events);
+    void releaseWaiting(TimePoint now, std::vector<DequeuedPacket> &dequeued);
     void routeHeld(TimePoint now, std::vector<DequeuedPacket> &dequeued);
     /// @p waited is the time that the packet was held before the first view.
     bool mayReset(const FlowPacket &packet, Duration waited, TimePoint now) const;
@@ -197,6 +205,14 @@
     std::uint64_t waitedRequests_ = 0;
     Random random_;
     RelayStart start_;
+    /// The freshest records of a relay that were too stale to be taken before all relays were asked.
+    struct StaleRecords
+    {
+        Endpoint relay;
+        DirectoryChanges records;
+        TimePoint receivedAt;
+    };
+    std::optional<StaleRecords> staleRecords_;
     std::shared_ptr<const DirectoryView> view_;
     FlowSampler placementSampler_;
     /// Events other than first placements have a budget of their own.
--- a/programs/boragelugd.cmake
+++ b/programs/boragelugd.cmake
@@ -1,4 +1,5 @@
-add_executable(boragelugd boragelugd.cpp caller_packets.cpp directory_calls.cpp entry_process.cpp load_poller.cpp node_admin.cpp
+add_executable(boragelugd boragelugd.cpp caller_packets.cpp directory_calls.cpp entry_process.cpp
+  fault_reporter.cpp load_poller.cpp node_admin.cpp
   tagged_admin.cpp tagged_process.cpp total_exporter.cpp)
 target_link_libraries(boragelugd PRIVATE boragelug_node boragelug_drivers boragelug_platform)
 target_compile_definitions(boragelugd PRIVATE BORAGELUG_VERSION="${PROJECT_VERSION}")
--- a/programs/boragelugd.cpp
+++ b/programs/boragelugd.cpp
@@ -10,6 +10,7 @@
 #include "platform/store_directory.h"
 #include "platform/udp_flow_fabric.h"
 #include "programs/entry_process.h"
+#include "programs/fault_reporter.h"
 #include "programs/tagged_process.h"
 
 #include <array>
@@ -210,6 +211,8 @@
                           *settings,
                           options.settings,
                           incarnation);
+    FaultReporter faults(events, metrics, runtime.clock());
+    runtime.onFault([&faults](std::string_view reason) { faults.report(reason); });
     process.start();
     runtime.run();
     return EX_OK;
@@ -252,6 +255,8 @@
         options.settings,
         *key,
         incarnation);
+    FaultReporter faults(events, metrics, runtime.clock());
+    runtime.onFault([&faults](std::string_view reason) { faults.report(reason); });
     process.start();
     if (!options.portsFile.empty()) {
         replaceFile(options.portsFile, toJson(process.describe()) + "\n");
--- a/programs/directory_calls.cpp
+++ b/programs/directory_calls.cpp
@@ -1,5 +1,8 @@
 #include "programs/directory_calls.h"
 
+#include <absl/cleanup/cleanup.h>
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -32,6 +35,12 @@
     scheduleUpdate();
 }
 
+// Posted, so that it is also safe while an exception is handled: there must always be a next call.
+void DirectoryCalls::updateSoon()
+{
+    asio::post(runtime_.context(), [this] { update(); });
+}
+
 void DirectoryCalls::callDirectory()
 {
     const auto call = node_.nextCall(now());
@@ -60,8 +69,8 @@
         const std::chrono::duration<double> seconds = now() - startedAt;
         metrics_.observe("boragelug_directory_read_seconds", seconds.count(), {});
     }
+    const absl::Cleanup next = [this] { updateSoon(); };
     handler_(node_.handleDirectoryAnswer(answer, now()));
-    update();
 }
 
 void DirectoryCalls::callRelayForStart()
@@ -84,12 +93,12 @@
     if (startCall_ == answer.callId) {
         startCall_.reset();
     }
+    const absl::Cleanup next = [this] { updateSoon(); };
     handler_(node_.handleStartAnswer(answer, now()));
     // The records of the relay replace a listing in progress.
     if (directoryCall_ && !node_.isStarting()) {
         directory_.cancel(*std::exchange(directoryCall_, std::nullopt));
     }
-    update();
 }
 
 void DirectoryCalls::checkListing()
--- a/programs/directory_calls.h
+++ b/programs/directory_calls.h
@@ -40,6 +40,7 @@
     void update();
 
 private:
+    void updateSoon();
     void callDirectory();
     void callRelayForStart();
     void checkListing();
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -199,6 +199,7 @@
 void TaggedProcess::tick()
 {
     record(node_.tick(now()));
+    checkUpstreams();
     resetSilentFlows();
     answerFollowers();
     packetEvents_.clear();
@@ -224,6 +225,9 @@
         return;
     }
     record(node_.beginDrain(now()));
+    packetEvents_.clear();
+    releasePackets();
+    record(std::move(packetEvents_));
 }
 
 void TaggedProcess::reloadSettings()
--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -33,8 +33,13 @@
 
 bool beginCheckIfDue(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
 {
-    if (health.consecutiveUnanswered < settings.unansweredToCheck
-        || now - health.checkRequestedAt < settings.checkInterval) {
+    return health.consecutiveUnanswered >= settings.unansweredToCheck
+        && beginCheckOfStalledRequest(health, settings, now);
+}
+
+bool beginCheckOfStalledRequest(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
+{
+    if (now - health.checkRequestedAt < settings.checkInterval) {
         return false;
     }
     health.checkRequestedAt = now;
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -60,9 +60,13 @@
 /// Whether the upstream is ejected from placement now.
 bool isEjected(const PassiveHealth &health, TimePoint now);
 
-/// Whether an active check of the upstream's address is due now; if so, marks it as requested.
+/// Whether an active check of the upstream's address is due now because of unanswered packets; if so, marks it as
+/// requested.
 bool beginCheckIfDue(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
 
+/// The same for a request without an answer, whose packets were all acknowledged: only the interval counts.
+bool beginCheckOfStalledRequest(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+
 /// Records the result of the check that was requested at PassiveHealth::checkRequestedAt.
 void recordCheckResult(PassiveHealth &health, bool answered, TimePoint now);
 
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -27,6 +27,7 @@
         return;
     }
     flow.busy = true;
+    flow.requestStartedAt = now;
     flow.upstream->busyFlows += 1;
     flow.service = flow.upstream->status.upstream.service;
     flow.ticket = admission(flow.service).begin(flow.objective, now);
@@ -125,10 +126,15 @@
     ++counters_.unansweredPackets;
     recordUnanswered(upstream.health, settings_.health, now);
     if (beginCheckIfDue(upstream.health, settings_.health, now)) {
-        checks_.push_back({ .upstream = upstream.status.upstream.id,
-                            .incarnation = upstream.status.upstream.incarnation,
-                            .address = upstream.status.upstream.httpEndpoint });
+        requestCheck(upstream);
     }
 }
 
+void TaggedRouter::requestCheck(const TrackedUpstream &upstream)
+{
+    checks_.push_back({ .upstream = upstream.status.upstream.id,
+                        .incarnation = upstream.status.upstream.incarnation,
+                        .address = upstream.status.upstream.httpEndpoint });
+}
+
 } // namespace boragelug
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -66,12 +66,15 @@
         upstream->status = status;
         upstream->tag = flowTagOf(status.upstream.id, status.upstream.incarnation);
         byTag_[upstream->tag].push_back(upstream);
-        if (mayTakeFlows(status)) {
-            placeable_[status.upstream.service].push_back(upstream);
-        }
         upstreams.emplace(key, std::move(upstream));
     }
     upstreams_ = std::move(upstreams);
+    markReusedAddresses();
+    for (const auto &[key, upstream] : upstreams_) {
+        if (mayTakeFlows(upstream->status) && !upstream->addressReused) {
+            placeable_[upstream->status.upstream.service].push_back(upstream);
+        }
+    }
     for (auto &[tag, sameTag] : byTag_) {
         std::sort(sameTag.begin(), sameTag.end(), [](const auto &a, const auto &b) {
             return std::pair(a->status.upstream.incarnation, a->status.upstream.id)
@@ -93,6 +96,31 @@
     }
 }
 
+// The record of an upstream that crashed stays listed for some seconds, and its address answers active checks once another
+// upstream has it.
+void TaggedRouter::markReusedAddresses()
+{
+    // Upstreams of the first listing have no time; their incarnations are start times.
+    const auto order = [](const DirectoryUpstream &status) {
+        return std::pair(status.knownSince, status.upstream.incarnation);
+    };
+    absl::flat_hash_map<Endpoint, std::shared_ptr<TrackedUpstream>> latest;
+    for (const auto &[key, upstream] : upstreams_) {
+        auto &current = latest[upstream->status.upstream.tunnelEndpoint];
+        if (!current || order(current->status) < order(upstream->status)) {
+            current = upstream;
+        }
+    }
+    for (const auto &[key, upstream] : upstreams_) {
+        const auto &current = latest.at(upstream->status.upstream.tunnelEndpoint);
+        const bool isReused = current != upstream && current->status.upstream.id != upstream->status.upstream.id;
+        if (isReused && !upstream->addressReused) {
+            silentUpstreams_.push_back(upstream);
+        }
+        upstream->addressReused = isReused;
+    }
+}
+
 const DirectoryEntry *TaggedRouter::findEntry(const Endpoint &address) const
 {
     const auto &entries = *view_->entries;
@@ -316,7 +344,8 @@
     // Progress after the record vanished shows that the upstream is alive but doesn't reach the directory.
     const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
     const Duration timeout = unanswered ? settings_.unlistedTimeoutUnanswered : settings_.unlistedTimeout;
-    if (upstream.status.listing == Listing::Gone && now - noProgressSince >= timeout) {
+    const bool isGone = upstream.status.listing == Listing::Gone && now - noProgressSince >= timeout;
+    if (isGone || upstream.addressReused) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -372,7 +401,7 @@
     std::vector<SilentFlow> silent;
     std::set<const TrackedUpstream *> confirmed;
     std::erase_if(silentUpstreams_, [&](const auto &upstream) {
-        if (isConfirmedSilent(*upstream, now)) {
+        if (upstream->addressReused || isConfirmedSilent(*upstream, now)) {
             confirmed.insert(upstream.get());
         }
         return confirmed.contains(upstream.get()) || !isSilent(upstream->health, settings_.health, now);
@@ -410,6 +439,7 @@
     nextSweep_ = now + sweepInterval;
     for (auto it = flows_.begin(); it != flows_.end();) {
         Flow &flow = it->second;
+        checkStalledRequest(it->first.second, flow, now);
         const Duration limit = flow.phase == FlowPhase::Open ? view_->flowIdleTimeout : settings_.endedFlowRetention;
         if (now - flow.lastPacket >= limit) {
             unassignUpstream(flow);
@@ -431,6 +461,19 @@
     return changes;
 }
 
+void TaggedRouter::checkStalledRequest(const Endpoint &address, Flow &flow, TimePoint now)
+{
+    const Duration timeout = std::max(flow.objective, settings_.stalledRequestTimeout);
+    if (!flow.busy || flow.phase != FlowPhase::Open || now - flow.requestStartedAt < timeout) {
+        return;
+    }
+    const DirectoryEntry *entry = findEntry(address);
+    if (entry != nullptr && entry->idempotent
+        && beginCheckOfStalledRequest(flow.upstream->health, settings_.health, now)) {
+        requestCheck(*flow.upstream);
+    }
+}
+
 std::vector<UpstreamUsage> TaggedRouter::usage() const
 {
     std::vector<UpstreamUsage> all;
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -40,6 +40,10 @@
     /// An unlisted upstream without progress on any flow for this long is considered exited. After an outage, records
     /// are listed again within 2.5 s, and this VM receives them up to 1.5 s later.
     Duration unlistedTimeout = std::chrono::milliseconds(4000);
+    /// A request without an answer for this long, and for longer than its latency objective, makes this VM check the
+    /// upstream. Upstreams acknowledge requests before they answer them, so that callers of one that crashed meanwhile
+    /// retransmit nothing.
+    Duration stalledRequestTimeout = std::chrono::milliseconds(500);
     /// Shorter timeout that applies to a retransmission that the upstream should have answered.
     Duration unlistedTimeoutUnanswered = std::chrono::milliseconds(2500);
     /// Limit of flows with a record on this VM. Further flows are routed the same way, but contribute nothing to the
@@ -228,6 +232,8 @@
         DirectoryUpstream status;
         FlowTag tag;
         PassiveHealth health;
+        /// Another upstream, which was listed later, has the address: this one has ended.
+        bool addressReused = false;
         std::uint32_t openFlows = 0;
         std::uint32_t busyFlows = 0;
         bool reportedEjected = false;
@@ -246,6 +252,7 @@
         ServiceId service;
         ServiceAdmission::Ticket ticket = 0;
         Duration objective {};
+        TimePoint requestStartedAt;
         std::uint32_t synSequence = 0;
         std::uint32_t nextSequence = 0;
         std::uint32_t acknowledged = 0;
@@ -258,6 +265,8 @@
     using UpstreamKey = std::pair<std::uint64_t, std::uint64_t>;
     using FlowId = std::pair<Endpoint, Endpoint>;
 
+    void markReusedAddresses();
+    void checkStalledRequest(const Endpoint &address, Flow &flow, TimePoint now);
     const DirectoryEntry *findEntry(const Endpoint &address) const;
     std::shared_ptr<TrackedUpstream> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
     std::shared_ptr<TrackedUpstream> findUpstream(const FlowPacket &packet, const DirectoryEntry &entry) const;
@@ -289,6 +298,7 @@
                TimePoint now);
     bool trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
     void countUnanswered(TrackedUpstream &upstream, TimePoint now);
+    void requestCheck(const TrackedUpstream &upstream);
     /// Why the flow of a data packet is to be reset; std::nullopt if it isn't.
     std::optional<TaggedRefusal> resetReason(const FlowPacket &packet,
                                              const DirectoryEntry &entry,
@@ -316,7 +326,7 @@
     absl::flat_hash_map<FlowId, Flow> flows_;
     std::map<ServiceId, ServiceAdmission> admissions_;
     std::vector<UpstreamCheck> checks_;
-    /// Upstreams whose last check failed, and whose flows were not reset yet.
+    /// Upstreams whose last check failed or whose address is used again, and whose flows were not reset yet.
     std::vector<std::shared_ptr<TrackedUpstream>> silentUpstreams_;
     TimePoint nextSweep_;
     TaggedCounters counters_;
--- a/tests/node/tagged_node_test.cpp
+++ b/tests/node/tagged_node_test.cpp
@@ -152,6 +152,36 @@
         events.begin(), events.end(), [](const auto &event) { return event.number == EventNumber::ProcessReady; }));
 }
 
+// A VM that starts while the directory is away must not use upstreams that have left, if a relay knows that they left: it
+// asks all relays and takes the latest records.
+TEST(TaggedNodeStart, TakesTheLatestRecordsWhileTheDirectoryIsAway)
+{
+    TaggedNodeSettings settings;
+    settings.mirror.zone = "kgd-north";
+    settings.reader.follow.relays = { { .address = { 1 }, .port = { 80 } }, { .address = { 2 }, .port = { 80 } } };
+    settings.reader.follow.self = { .address = { 3 }, .port = { 80 } };
+    TaggedNode node(settings);
+    TimePoint now { 100s };
+    EXPECT_FALSE(node.nextCall(now));
+    now += FollowSettings {}.relayHeadStart;
+    const auto listing = node.nextCall(now);
+    ASSERT_TRUE(listing);
+    node.handleDirectoryAnswer(
+        { .callId = listing->id, .result = DirectoryFailure { DirectoryError::Unreachable, "refused" } }, now);
+    DirectoryChanges older { .items = { catalogueItem(1), upstreamItem(1, 2), upstreamItem(2, 3) }, .asOf = { 3 } };
+    older.age = 20s;
+    DirectoryChanges later { .items = { catalogueItem(1), upstreamItem(1, 2) }, .asOf = { 5 } };
+    later.age = 5s;
+    for (const DirectoryChanges &records : { older, later }) {
+        EXPECT_FALSE(node.isReady());
+        const auto call = node.nextStartCall(now);
+        ASSERT_TRUE(call);
+        node.handleStartAnswer({ .callId = call->id, .result = records }, now);
+    }
+    ASSERT_TRUE(node.isReady());
+    EXPECT_EQ(node.view()->upstreams.size(), 1U);
+}
+
 // A VM whose relays are all without power must list the directory at once.
 TEST(TaggedNodeStart, ListsAtOnceWhenARelayFails)
 {
@@ -181,6 +211,39 @@
     EXPECT_TRUE(node.isDrained(now));
 }
 
+// Requests that were queued when the stop began must be forwarded at once, and later ones must not be queued: a process
+// that exits with queued requests cuts them off without an answer.
+TEST_F(TaggedNodeTest, ForwardsQueuedRequestsWhenADrainBegins)
+{
+    answer(DirectoryPage {
+        .items = { catalogueItem(1, 10s), upstreamItem(1, 2) }, .more = false, .lastKey = {}, .asOf = { 3 } });
+    routeSyn(1);
+    routeSyn(2);
+    EXPECT_TRUE(std::holds_alternative<QueuePacket>(routeSyn(3)));
+    EXPECT_TRUE(std::holds_alternative<QueuePacket>(routeSyn(4)));
+    EXPECT_TRUE(node.takeDequeued(now, events).empty());
+    append(node.beginDrain(now));
+    EXPECT_FALSE(node.isDrained(now));
+    const auto dequeued = node.takeDequeued(now, events);
+    ASSERT_EQ(dequeued.size(), 2U);
+    for (const DequeuedPacket &packet : dequeued) {
+        EXPECT_TRUE(std::holds_alternative<ForwardPacket>(packet.decision));
+    }
+    EXPECT_TRUE(std::holds_alternative<ForwardPacket>(routeSyn(5)));
+}
+
+// A VM that is stopped before it has a view must not exit while it holds packets that another VM could have taken; its
+// bound ends the wait.
+TEST_F(TaggedNodeTest, WaitsForHeldPacketsUntilTheBoundOfADrain)
+{
+    routeSyn(1);
+    append(node.beginDrain(now));
+    now += 3s;
+    EXPECT_FALSE(node.isDrained(now));
+    now += settings().drainBound;
+    EXPECT_TRUE(node.isDrained(now));
+}
+
 // A drain must end at its bound, which the platform sets for a stop, even if the fabric never stops sending.
 TEST_F(TaggedNodeTest, EndsADrainAtItsBound)
 {
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -381,6 +381,56 @@
     EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "reset twice";
 }
 
+// An upstream that acknowledged a request and then crashed leaves its caller without a reason to retransmit: the VM must
+// notice by itself that no answer comes. Requests that aren't idempotent can't be repeated, so that nothing is checked.
+TEST_F(TaggedRouterTest, ChecksTheUpstreamOfAStalledRequest)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, inspection, home) });
+    route(data(syn(1, 1), flowTagOf(UpstreamId { 1 }, Incarnation { 1 }), 0, 1));
+    route(data(syn(1, 2, inspectionEntry), flowTagOf(UpstreamId { 2 }, Incarnation { 1 }), 0, 1));
+    now += TaggedRouterSettings {}.stalledRequestTimeout - 1ms;
+    router.tick(now);
+    EXPECT_TRUE(router.takeChecks().empty());
+    now += 500ms;
+    router.tick(now);
+    const auto checks = router.takeChecks();
+    ASSERT_EQ(checks.size(), 1U);
+    EXPECT_EQ(checks.front().upstream, UpstreamId { 1 });
+}
+
+// The address of a crashed upstream is given to another one while the old record is still listed. The address then
+// answers checks, but packets for the old upstream are ignored there.
+TEST_F(TaggedRouterTest, ResetsFlowsOfAnUpstreamWhoseAddressIsUsedAgain)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowTag tag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
+    auto successor = upstream(9, inspection, home, 7);
+    successor.upstream.tunnelEndpoint = upstream(1, ledger, home).upstream.tunnelEndpoint;
+    successor.knownSince = now;
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home), successor });
+    const auto silent = router.takeSilentFlows(now);
+    ASSERT_EQ(silent.size(), 1U);
+    EXPECT_EQ(silent.front().upstream, UpstreamId { 1 });
+    const auto decision = router.route(data(syn(1, 2), tag, 0, 1), { .viewIsFresh = true }, now);
+    ASSERT_TRUE(std::holds_alternative<ResetFlow>(decision));
+    EXPECT_EQ(std::get<ResetFlow>(decision).reason, TaggedRefusal::EndedUpstream);
+    for (std::uint16_t port = 10; port < 40; ++port) {
+        EXPECT_EQ(route(syn(1, port))->upstream, UpstreamId { 2 });
+    }
+}
+
+// A restart under the same id keeps the address; the host itself ends flows of its former incarnation.
+TEST_F(TaggedRouterTest, KeepsFlowsOfARestartedUpstream)
+{
+    auto earlier = upstream(1, ledger, home, 1);
+    auto restarted = upstream(1, ledger, home, 2);
+    restarted.knownSince = now;
+    setUpstreams({ earlier, restarted });
+    EXPECT_TRUE(route(data(syn(1, 1), flowTagOf(UpstreamId { 1 }, Incarnation { 1 }), 0, 1)));
+    EXPECT_TRUE(router.takeSilentFlows(now).empty());
+}
+
 // Flows of an upstream that answers again, and requests that aren't idempotent, must not be reset.
 TEST_F(SilentUpstreamTest, ResetsNoFlowOfALiveUpstreamOrOfAnotherEntry)
 {
--- a/views/relay_start.cpp
+++ b/views/relay_start.cpp
@@ -69,7 +69,7 @@
     announceUntil_ = now + settings_.announceTime;
     referral_.reset();
     inProgress_.reset();
-    failuresInTurn_ = 0;
+    askedInTurn_ = 0;
     nextAt_ = now;
 }
 
@@ -92,8 +92,9 @@
 {
     nextRelay_ = (nextRelay_ + 1) % relays_.size();
     nextAt_ = now;
-    if (++failuresInTurn_ >= relays_.size()) {
-        failuresInTurn_ = 0;
+    if (++askedInTurn_ >= relays_.size()) {
+        askedInTurn_ = 0;
+        ++turns_;
         nextAt_ = now + settings_.retryInterval;
     }
 }
@@ -132,7 +133,10 @@
         fail("the relay has no records", now, result);
     } else {
         result.records = *changes;
-        nextAt_ = now + settings_.wait;
+        // If these records aren't used, another relay may have better ones.
+        referral_.reset();
+        hops_ = 0;
+        chooseNextRelay(now);
     }
     inProgress_.reset();
     return result;
--- a/views/relay_start.h
+++ b/views/relay_start.h
@@ -68,6 +68,9 @@
     /// Takes the answer to the call in progress; answers to other calls are ignored.
     Result handleAnswer(const DirectoryAnswer &answer, TimePoint now);
 
+    /// Whether each relay was asked at least once.
+    bool hasAskedAll() const { return turns_ > 0; }
+
     /// A VM with all records announced itself: it is asked next, in place of a call in progress to a VM of the list.
     /// Ignored unless this VM still asks.
     void handleAnnouncement(const Endpoint &vm, TimePoint now);
@@ -97,8 +100,9 @@
     TimePoint startedAt_;
     std::uint64_t lastId_ = 0;
     std::size_t nextRelay_ = 0;
-    /// Relays that failed since the last pause.
-    std::size_t failuresInTurn_ = 0;
+    /// Relays that were asked since the last pause, and how often all of them were.
+    std::size_t askedInTurn_ = 0;
+    std::uint64_t turns_ = 0;
     /// The VM that a relay referred to or that announced itself, and the number of referrals since a relay was chosen
     /// from the list.
     std::optional<Endpoint> referral_;
