--- a/drivers/packed_bytes.cpp
+++ b/drivers/packed_bytes.cpp
@@ -16,8 +16,7 @@
 std::string packBytes(std::string_view bytes)
 {
     std::string packed(ZSTD_compressBound(bytes.size()), '\0');
-    const std::size_t size =
-        ZSTD_compress(packed.data(), packed.size(), bytes.data(), bytes.size(), compressionLevel);
+    const std::size_t size = ZSTD_compress(packed.data(), packed.size(), bytes.data(), bytes.size(), compressionLevel);
     if (ZSTD_isError(size) != 0) {
         throw std::runtime_error(std::string("can't compress: ") + ZSTD_getErrorName(size));
     }
--- a/drivers/relay_codec.cpp
+++ b/drivers/relay_codec.cpp
@@ -205,9 +205,8 @@
     const CatalogueVersion version { fromWire(in.version) };
     DirectoryItem item { .key = in.key, .revision = { fromWire(in.revision) }, .content = RemovedRecord {} };
     if (!in.__isset.baseVersion) {
-        item.content = CatalogueRecord { .version = version,
-                                         .entries = std::move(entries),
-                                         .flowIdleTimeout = flowIdleTimeout };
+        item.content =
+            CatalogueRecord { .version = version, .entries = std::move(entries), .flowIdleTimeout = flowIdleTimeout };
         return item;
     }
     CatalogueDelta delta { .base = { fromWire(in.baseVersion) },
@@ -257,7 +256,8 @@
         items.push_back(fromWire(upstream));
     }
     for (const wire::RelayRemoval &removal : in.removals) {
-        items.push_back({ .key = removal.key, .revision = { fromWire(removal.revision) }, .content = RemovedRecord {} });
+        items.push_back(
+            { .key = removal.key, .revision = { fromWire(removal.revision) }, .content = RemovedRecord {} });
     }
     return true;
 }
--- a/drivers/tcp_relay_listener.cpp
+++ b/drivers/tcp_relay_listener.cpp
@@ -56,8 +56,8 @@
             });
     }
 
-    /// The request that waits for its answer; std::nullopt if there is none. A second answer to a request would be taken
-    /// for that of the next one.
+    /// The request that waits for its answer; std::nullopt if there is none. A second answer to a request would be
+    /// taken for that of the next one.
     std::optional<RelayRequestMessage> takeRequest() { return std::exchange(lastRequest_, std::nullopt); }
 
     void send(std::vector<std::byte> bytes)
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -86,11 +86,10 @@
 
 std::string_view taggedRefusalName(TaggedRefusal reason)
 {
-    constexpr std::array<std::string_view, taggedRefusalCount> names { "no_view",        "unknown_entry",
-                                                                       "no_upstream",    "unknown_tag",
-                                                                       "foreign_tag",    "silent_upstream",
-                                                                       "ended_upstream", "crowded",
-                                                                       "outdated_syn" };
+    constexpr std::array<std::string_view, taggedRefusalCount> names {
+        "no_view",         "unknown_entry",  "no_upstream", "unknown_tag", "foreign_tag",
+        "silent_upstream", "ended_upstream", "crowded",     "outdated_syn"
+    };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -115,8 +114,8 @@
 {
     handleTickGap(now, events);
     lastPacket_ = now;
-    const TaggedDecision decision =
-        isOutdatedSyn(packet, now) ? router_.dropSyn(TaggedRefusal::OutdatedSyn) : decide(packet, now, bytes, Duration::zero());
+    const TaggedDecision decision = isOutdatedSyn(packet, now) ? router_.dropSyn(TaggedRefusal::OutdatedSyn)
+                                                               : decide(packet, now, bytes, Duration::zero());
     appendDecisionEvent(packet, decision, std::nullopt, now, events);
     return decision;
 }
@@ -234,8 +233,8 @@
         const Duration waited = now - held.arrivedAt;
         const FlowPacket &head = held.packet.head;
         // The caller has abandoned opening this flow.
-        const bool isExpired = head.syn
-            && waited + router_.sinceFirstSyn(head) >= settings_.routing.admission.openingTimeout;
+        const bool isExpired =
+            head.syn && waited + router_.sinceFirstSyn(head) >= settings_.routing.admission.openingTimeout;
         const TaggedDecision decision =
             isExpired ? router_.dropSyn(TaggedRefusal::NoView) : decide(head, now, held.packet.bytes, waited);
         if (!std::holds_alternative<QueuePacket>(decision)) {
@@ -247,7 +246,8 @@
 void TaggedNode::routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued)
 {
     for (WaitingPacket &packet : request.packets) {
-        TaggedDecision decision = router_.route(packet.head, { .viewIsFresh = mayReset(packet.head, Duration::zero(), now) }, now);
+        TaggedDecision decision =
+            router_.route(packet.head, { .viewIsFresh = mayReset(packet.head, Duration::zero(), now) }, now);
         dequeued.push_back({ .packet = std::move(packet), .decision = decision, .waited = now - request.queuedAt });
     }
 }
@@ -365,8 +365,8 @@
     return true;
 }
 
-// Old records may have upstreams and entries that were removed since. Of several relays, the one with the latest records
-// is used, and only while the directory itself can't be read.
+// Old records may have upstreams and entries that were removed since. Of several relays, the one with the latest
+// records is used, and only while the directory itself can't be read.
 void TaggedNode::adoptStaleRecords(TimePoint now, std::vector<NodeEvent> &events)
 {
     if (!staleRecords_ || !isStarting() || !start_.hasAskedAll()) {
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -182,8 +182,7 @@
     bool mayReset(const FlowPacket &packet, Duration waited, TimePoint now) const;
     bool isOutdatedSyn(const FlowPacket &packet, TimePoint now) const;
     void handleTickGap(TimePoint now, std::vector<NodeEvent> &events);
-    TaggedDecision
-    decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes, Duration waited);
+    TaggedDecision decide(const FlowPacket &packet, TimePoint now, std::span<const std::byte> bytes, Duration waited);
     void routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued);
     void appendDecisionEvent(const FlowPacket &packet,
                              const TaggedDecision &decision,
--- a/programs/directory_calls.h
+++ b/programs/directory_calls.h
@@ -25,8 +25,8 @@
     /// Receives the events of each answer, after the node has taken it.
     using Handler = std::function<void(std::vector<NodeEvent>)>;
 
-    /// @p relays and @p startRelays may be null; then the node must have no relays. They make one call at a time each, so
-    /// that the calls of the start need an object of their own. The references must outlive this.
+    /// @p relays and @p startRelays may be null; then the node must have no relays. They make one call at a time each,
+    /// so that the calls of the start need an object of their own. The references must outlive this.
     DirectoryCalls(AsioRuntime &runtime,
                    TaggedNode &node,
                    Directory &directory,
--- a/programs/fault_reporter.h
+++ b/programs/fault_reporter.h
@@ -11,8 +11,8 @@
 {
 
 /**
- * Counts and logs exceptions that left a callback of the event loop. A peer that provokes many of them must not fill the
- * log, so that lines have a budget; the counter has all.
+ * Counts and logs exceptions that left a callback of the event loop. A peer that provokes many of them must not fill
+ * the log, so that lines have a budget; the counter has all.
  *
  * Not synchronized: one thread at a time.
  */
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -34,8 +34,8 @@
     /// Number of consecutive unanswered packets that eject an upstream. A single one proves nothing, because datagrams
     /// get lost now and then.
     std::uint32_t unansweredToEject = 2;
-    /// Number of consecutive unanswered packets after which an upstream's address is checked actively. In a large fleet,
-    /// a VM has one or two flows at an upstream, so that more evidence would come too late.
+    /// Number of consecutive unanswered packets after which an upstream's address is checked actively. In a large
+    /// fleet, a VM has one or two flows at an upstream, so that more evidence would come too late.
     std::uint32_t unansweredToCheck = 1;
     /// Duration of the first ejection; doubles with each consecutive ejection up to the maximum.
     Duration baseEjectionTime = std::chrono::milliseconds(800);
--- a/routing/tagged_admission.cpp
+++ b/routing/tagged_admission.cpp
@@ -19,7 +19,8 @@
     if (!startsRequest) {
         return std::nullopt;
     }
-    const WaitingRequestAttributes attributes = waitingRequestAttributes(packet, entry, service, !hasRecord, now - waited);
+    const WaitingRequestAttributes attributes =
+        waitingRequestAttributes(packet, entry, service, !hasRecord, now - waited);
     return isBelowLimit(service, now >= attributes.lateAt, now) ? std::nullopt
                                                                 : std::optional(queueDecision(attributes));
 }
@@ -41,8 +42,11 @@
     return syn.synCopies == 1 ? settings_.admission.firstSynCopyDelay : settings_.admission.secondSynCopyDelay;
 }
 
-WaitingRequestAttributes TaggedRouter::waitingRequestAttributes(
-    const FlowPacket &packet, const DirectoryEntry &entry, ServiceId service, bool unknownFlow, TimePoint arrivedAt) const
+WaitingRequestAttributes TaggedRouter::waitingRequestAttributes(const FlowPacket &packet,
+                                                                const DirectoryEntry &entry,
+                                                                ServiceId service,
+                                                                bool unknownFlow,
+                                                                TimePoint arrivedAt) const
 {
     const AdmissionSettings &settings = settings_.admission;
     WaitingRequestAttributes attributes {
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -96,8 +96,8 @@
     }
 }
 
-// The record of an upstream that crashed stays listed for some seconds, and its address answers active checks once another
-// upstream has it.
+// The record of an upstream that crashed stays listed for some seconds, and its address answers active checks once
+// another upstream has it.
 void TaggedRouter::markReusedAddresses()
 {
     // Upstreams of the first listing have no time; their incarnations are start times.
@@ -215,8 +215,10 @@
                            .unanswered = unanswered };
 }
 
-TaggedDecision TaggedRouter::routeSyn(
-    const FlowPacket &packet, const DirectoryEntry &entry, const RouteOptions &options, TimePoint now)
+TaggedDecision TaggedRouter::routeSyn(const FlowPacket &packet,
+                                      const DirectoryEntry &entry,
+                                      const RouteOptions &options,
+                                      TimePoint now)
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
     if (found == flows_.end() || found->second.synSequence != packet.sequence) {
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -216,8 +216,8 @@
     /// Records the result of a health check. @p answered is false only if nothing at all came back in time.
     void recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now);
 
-    /// Flows of silent upstreams that have to be reset, so that their callers need not retransmit until then. To be called
-    /// after recordCheckResult() and each tick.
+    /// Flows of silent upstreams that have to be reset, so that their callers need not retransmit until then. To be
+    /// called after recordCheckResult() and each tick.
     std::vector<SilentFlow> takeSilentFlows(TimePoint now);
 
     /// Upstreams that have flows on this VM or are ejected.
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::uint64_t maxGapMilliseconds = 900;
 /// Targets by weight: faults of VMs are twice as frequent as others.
-constexpr std::array<FaultTarget, 7> targets { FaultTarget::Vm,        FaultTarget::Vm,      FaultTarget::Upstream,
-                                               FaultTarget::Store,     FaultTarget::Catalogue, FaultTarget::Network,
+constexpr std::array<FaultTarget, 7> targets { FaultTarget::Vm,       FaultTarget::Vm,        FaultTarget::Upstream,
+                                               FaultTarget::Store,    FaultTarget::Catalogue, FaultTarget::Network,
                                                FaultTarget::Partition };
 
 } // namespace
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -30,8 +30,8 @@
     bool operator==(const PlannedFault &) const = default;
 };
 
-/// The faults of a run whose time with faults has the given @p length, ordered by time. The same arguments give the same
-/// plan on every machine and under every load. Thread-safe.
+/// The faults of a run whose time with faults has the given @p length, ordered by time. The same arguments give the
+/// same plan on every machine and under every load. Thread-safe.
 std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length);
 
 } // namespace boragelug::soak
--- a/tests/drivers/relay_test.cpp
+++ b/tests/drivers/relay_test.cpp
@@ -75,13 +75,11 @@
     EXPECT_EQ(decoded->changes.age, changes.age);
     EXPECT_EQ(decoded->changes.sinceOutage, changes.sinceOutage);
     EXPECT_EQ(decoded->changes.elsewhere, changes.elsewhere);
-    const RelayRequestMessage request { .request = { .after = { 8 },
-                                                     .catalogue = { 3 },
-                                                     .wait = 500ms,
-                                                     .listening = anyLocal,
-                                                     .zone = "kgd-north" },
-                                        .id = 18,
-                                        .acceptsPacked = true };
+    const RelayRequestMessage request {
+        .request = { .after = { 8 }, .catalogue = { 3 }, .wait = 500ms, .listening = anyLocal, .zone = "kgd-north" },
+        .id = 18,
+        .acceptsPacked = true
+    };
     EXPECT_EQ(decodeRelayRequest(withoutLength(encodeRelayRequest(request))), request);
 }
 
@@ -90,11 +88,9 @@
 {
     DirectoryChanges changes = sampleChanges();
     const auto &catalogue = std::get<CatalogueRecord>(changes.items.front().content);
-    changes.items.front().content = CatalogueDelta { .base = { 11 },
-                                                     .version = { 12 },
-                                                     .changed = catalogue.entries,
-                                                     .removed = { anyLocal },
-                                                     .flowIdleTimeout = 15s };
+    changes.items.front().content = CatalogueDelta {
+        .base = { 11 }, .version = { 12 }, .changed = catalogue.entries, .removed = { anyLocal }, .flowIdleTimeout = 15s
+    };
     const auto records = std::exchange(changes.items, {});
     const auto bytes = encodeRelayAnswer({ .changes = changes, .requestId = 1 }, packRelayRecords(records));
     const auto decoded = decodeRelayAnswer(withoutLength(bytes));
--- a/tests/node/fleet_start_test.cpp
+++ b/tests/node/fleet_start_test.cpp
@@ -28,8 +28,8 @@
     }
 };
 
-// All VMs of a large fleet get power together, the relays last. If each lists the directory, none is ready before all of
-// them nearly are: their listings share its bandwidth. With relays, the VMs must be ready in half of that time.
+// All VMs of a large fleet get power together, the relays last. If each lists the directory, none is ready before all
+// of them nearly are: their listings share its bandwidth. With relays, the VMs must be ready in half of that time.
 TEST_P(FleetStartTest, IsReadySoonWhenAllVmsStartTogether)
 {
     StartSettings alone;
--- a/tests/node/start_simulation.cpp
+++ b/tests/node/start_simulation.cpp
@@ -115,10 +115,9 @@
 void StartSimulation::makeCalls(Vm &vm)
 {
     if (const auto call = vm.node->nextStartCall(now_)) {
-        vm.startCall = { .call = *call,
-                         .relay = call->relay.address.value - firstAddress,
-                         .startedAt = now_,
-                         .isStart = true };
+        vm.startCall = {
+            .call = *call, .relay = call->relay.address.value - firstAddress, .startedAt = now_, .isStart = true
+        };
     }
     if (vm.listing && vm.node->listingCheckAt() && now_ >= *vm.node->listingCheckAt()
         && vm.node->abandonsListing(static_cast<std::size_t>(vm.listing->receivedBytes), now_)) {
@@ -235,8 +234,7 @@
             const std::chrono::duration<double> transfer(settings_.recordsBytes
                                                          / std::min(relay.bandwidth, vm.bandwidth));
             const std::chrono::duration<double> occupied(settings_.recordsBytes / relay.bandwidth);
-            relay.uplinkFreeAt =
-                std::max(relay.uplinkFreeAt, now_) + std::chrono::duration_cast<Duration>(occupied);
+            relay.uplinkFreeAt = std::max(relay.uplinkFreeAt, now_) + std::chrono::duration_cast<Duration>(occupied);
             relay.sentBytes += settings_.recordsBytes;
             at = std::max(relay.uplinkFreeAt, now_ + std::chrono::duration_cast<Duration>(transfer))
                 + settings_.recordsTime;
@@ -265,9 +263,10 @@
 
 double StartSimulation::maxSentBytes() const
 {
-    return std::max_element(vms_.begin(), vms_.end(), [](const Vm &left, const Vm &right) {
-               return left.sentBytes < right.sentBytes;
-           })->sentBytes;
+    return std::max_element(vms_.begin(),
+                            vms_.end(),
+                            [](const Vm &left, const Vm &right) { return left.sentBytes < right.sentBytes; })
+        ->sentBytes;
 }
 
 } // namespace boragelug
--- a/tests/node/start_simulation.h
+++ b/tests/node/start_simulation.h
@@ -42,8 +42,8 @@
 };
 
 /**
- * Simulates the start of a fleet in virtual time: which VM reads the directory, which one asks a relay, and when each is
- * ready. Bandwidth is shared equally between the listings in progress. Deterministic for given settings.
+ * Simulates the start of a fleet in virtual time: which VM reads the directory, which one asks a relay, and when each
+ * is ready. Bandwidth is shared equally between the listings in progress. Deterministic for given settings.
  */
 class StartSimulation
 {
--- a/tests/node/tagged_node_test.cpp
+++ b/tests/node/tagged_node_test.cpp
@@ -152,8 +152,8 @@
         events.begin(), events.end(), [](const auto &event) { return event.number == EventNumber::ProcessReady; }));
 }
 
-// A VM that starts while the directory is away must not use upstreams that have left, if a relay knows that they left: it
-// asks all relays and takes the latest records.
+// A VM that starts while the directory is away must not use upstreams that have left, if a relay knows that they left:
+// it asks all relays and takes the latest records.
 TEST(TaggedNodeStart, TakesTheLatestRecordsWhileTheDirectoryIsAway)
 {
     TaggedNodeSettings settings;
@@ -192,8 +192,8 @@
     const TimePoint now { 100s };
     EXPECT_FALSE(node.nextCall(now));
     const auto call = node.nextStartCall(now);
-    node.handleStartAnswer({ .callId = call->id, .result = DirectoryFailure { DirectoryError::Unreachable, "refused" } },
-                           now);
+    node.handleStartAnswer(
+        { .callId = call->id, .result = DirectoryFailure { DirectoryError::Unreachable, "refused" } }, now);
     EXPECT_TRUE(node.nextCall(now));
 }
 
@@ -302,9 +302,9 @@
     EXPECT_EQ(events.size(), reportedEvents) << "the suspension is reported twice";
 }
 
-// A SYN that waited in the socket of a suspended VM must not be placed when the VM resumes: a copy of it may have opened
-// the flow through another VM, and a second upstream's answer would make the caller change its tag (soak seed 1026).
-// Only the last copy is placed: callers send it if no VM has opened the flow yet.
+// A SYN that waited in the socket of a suspended VM must not be placed when the VM resumes: a copy of it may have
+// opened the flow through another VM, and a second upstream's answer would make the caller change its tag (soak seed
+// 1026). Only the last copy is placed: callers send it if no VM has opened the flow yet.
 TEST_F(TaggedNodeTest, PlacesNoSynThatWaitedDuringASuspension)
 {
     becomeReady();
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -31,7 +31,10 @@
 
     void setUpstreams(std::vector<DirectoryUpstream> upstreams) { router.applyView(view(std::move(upstreams)), now); }
 
-    std::optional<ForwardPacket> route(const FlowPacket &packet) { return forwarded(router.route(packet, { .viewIsFresh = true }, now)); }
+    std::optional<ForwardPacket> route(const FlowPacket &packet)
+    {
+        return forwarded(router.route(packet, { .viewIsFresh = true }, now));
+    }
 
     TaggedRouter router;
     TimePoint now { 100s };
@@ -128,7 +131,8 @@
     EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
     EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
     now += 200ms;
-    EXPECT_TRUE(std::holds_alternative<ResetFlow>(router.route(data(syn(1, 1), tag, 0, 1), { .viewIsFresh = true }, now)));
+    EXPECT_TRUE(
+        std::holds_alternative<ResetFlow>(router.route(data(syn(1, 1), tag, 0, 1), { .viewIsFresh = true }, now)));
 }
 
 // Flows of an upstream that is alive but doesn't reach the directory must not be reset, nor any flow while this VM's
@@ -381,8 +385,9 @@
     EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "reset twice";
 }
 
-// An upstream that acknowledged a request and then crashed leaves its caller without a reason to retransmit: the VM must
-// notice by itself that no answer comes. Requests that aren't idempotent can't be repeated, so that nothing is checked.
+// An upstream that acknowledged a request and then crashed leaves its caller without a reason to retransmit: the VM
+// must notice by itself that no answer comes. Requests that aren't idempotent can't be repeated, so that nothing is
+// checked.
 TEST_F(TaggedRouterTest, ChecksTheUpstreamOfAStalledRequest)
 {
     setUpstreams({ upstream(1, ledger, home), upstream(2, inspection, home) });
@@ -559,8 +564,9 @@
     for (std::uint16_t port = 1; port <= 50; ++port) {
         const auto placed = forwarded(router.route(syn(1, port), { .viewIsFresh = true }, now));
         EXPECT_EQ(placed->upstream, UpstreamId { first });
-        EXPECT_EQ(forwarded(router.route(data(syn(1, port), placed->tag, 0, 1), { .viewIsFresh = true }, now))->upstream,
-                  placed->upstream);
+        EXPECT_EQ(
+            forwarded(router.route(data(syn(1, port), placed->tag, 0, 1), { .viewIsFresh = true }, now))->upstream,
+            placed->upstream);
     }
 }
 
@@ -607,7 +613,8 @@
                 vm->applyView(view(listed), now);
             }
             const Endpoint entry = random.chance(0.5) ? ledgerEntry : inspectionEntry;
-            const auto placed = forwarded(vms[random.below(vms.size())]->route(syn(1, port, entry), { .viewIsFresh = true }, now));
+            const auto placed =
+                forwarded(vms[random.below(vms.size())]->route(syn(1, port, entry), { .viewIsFresh = true }, now));
             if (placed) {
                 const ServiceId wanted = entry == ledgerEntry ? ledger : inspection;
                 ASSERT_EQ(live.at(placed->upstream.value).upstream.service, wanted);
@@ -620,8 +627,8 @@
             }
             const ServiceId service = live.at(flow->second.upstream.value).upstream.service;
             const FlowPacket opening = syn(1, earlier, service == ledger ? ledgerEntry : inspectionEntry);
-            const auto later = forwarded(
-                vms[random.below(vms.size())]->route(data(opening, flow->second.tag, 0, 1), { .viewIsFresh = random.chance(0.5) }, now));
+            const auto later = forwarded(vms[random.below(vms.size())]->route(
+                data(opening, flow->second.tag, 0, 1), { .viewIsFresh = random.chance(0.5) }, now));
             ASSERT_TRUE(later);
             ASSERT_EQ(later->upstream, flow->second.upstream);
         }
--- a/tests/views/catalogue_mirror_test.cpp
+++ b/tests/views/catalogue_mirror_test.cpp
@@ -26,8 +26,8 @@
 {
     return { .key = "catalogue",
              .revision = { revision },
-             .content = CatalogueRecord {
-                 .version = { version }, .entries = std::move(entries), .flowIdleTimeout = 15s } };
+             .content =
+                 CatalogueRecord { .version = { version }, .entries = std::move(entries), .flowIdleTimeout = 15s } };
 }
 
 Adoption adopt(CatalogueMirror &mirror, const DirectoryItem &item)
@@ -71,7 +71,8 @@
     }
 }
 
-// Changes that start from another version must not be mixed into this one, and an older catalogue must never be adopted.
+// Changes that start from another version must not be mixed into this one, and an older catalogue must never be
+// adopted.
 TEST(CatalogueMirrorTest, RefusesChangesOfOtherVersionsAndOlderCatalogues)
 {
     CatalogueMirror mirror;
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -235,10 +235,9 @@
 // them back, and a host that appeared in between must not be lost.
 TEST_F(DirectoryAdoptTest, ReplacesThePagesOfAListingInProgress)
 {
-    DirectoryPage first { .items = { catalogue(1, 1), host(1, 2), host(2, 9) },
-                          .more = true,
-                          .lastKey = "hosts/2",
-                          .asOf = { 3 } };
+    DirectoryPage first {
+        .items = { catalogue(1, 1), host(1, 2), host(2, 9) }, .more = true, .lastKey = "hosts/2", .asOf = { 3 }
+    };
     started.answer(DirectoryCall::Kind::List, first, now);
     EXPECT_TRUE(adopt(changes({ catalogue(1, 1), host(3, 4) }, 5)));
     std::map<std::uint64_t, Listing> listings;
@@ -340,8 +339,8 @@
     }
 }
 
-// Guards the catalogue of a VM that missed the version from which a relay's changes start: they are refused as a whole, and
-// the VM reads the directory.
+// Guards the catalogue of a VM that missed the version from which a relay's changes start: they are refused as a whole,
+// and the VM reads the directory.
 TEST_F(DirectoryFollowTest, RefusesChangesOfAnotherCatalogueVersion)
 {
     CatalogueDelta delta;
@@ -384,7 +383,9 @@
     {
         const Endpoint listening { .address = { static_cast<std::uint32_t>(1000 + follower) }, .port = { 80 } };
         vm.relay.handleRequest(
-            FollowerId { follower }, { .after = { after }, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = "kgd-north" }, now);
+            FollowerId { follower },
+            { .after = { after }, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = "kgd-north" },
+            now);
     }
 
     std::vector<RelayAnswer> answers() { return vm.relay.takeAnswers(now, vm.random); }
@@ -472,9 +473,13 @@
     Vm last(secondRelay, RelaySettings { .maxFollowers = 1 });
     last.list({ catalogue(1, 1) }, 1, now);
     const Endpoint known { .address = { 1001 }, .port = { 80 } };
-    last.relay.handleRequest(FollowerId { 1 }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = known, .zone = "kgd-north" }, now);
+    last.relay.handleRequest(FollowerId { 1 },
+                             { .after = {}, .catalogue = {}, .wait = 500ms, .listening = known, .zone = "kgd-north" },
+                             now);
     last.relay.takeAnswers(now, last.random);
-    last.relay.handleRequest(FollowerId { 2 }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = plainVm, .zone = "kgd-north" }, now);
+    last.relay.handleRequest(FollowerId { 2 },
+                             { .after = {}, .catalogue = {}, .wait = 500ms, .listening = plainVm, .zone = "kgd-north" },
+                             now);
     EXPECT_EQ(last.relay.takeAnswers(now, last.random).front().changes.elsewhere, known);
 }
 
@@ -485,8 +490,9 @@
     const Endpoint north { .address = { 1001 }, .port = { 80 } };
     const Endpoint south { .address = { 1002 }, .port = { 80 } };
     const auto askFrom = [&](std::uint64_t follower, const Endpoint &listening, const std::string &zone) {
-        vm.relay.handleRequest(
-            FollowerId { follower }, { .after = {}, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = zone }, now);
+        vm.relay.handleRequest(FollowerId { follower },
+                               { .after = {}, .catalogue = {}, .wait = 500ms, .listening = listening, .zone = zone },
+                               now);
         return answers();
     };
     askFrom(1, north, "kgd-north");
@@ -505,7 +511,9 @@
     Vm starting(firstRelay);
     const Endpoint listening { .address = { 1001 }, .port = { 80 } };
     starting.relay.handleRequest(
-        FollowerId { 1 }, { .after = {}, .catalogue = {}, .wait = 600ms, .listening = listening, .zone = "kgd-north" }, now);
+        FollowerId { 1 },
+        { .after = {}, .catalogue = {}, .wait = 600ms, .listening = listening, .zone = "kgd-north" },
+        now);
     EXPECT_TRUE(starting.relay.takeAnswers(now, starting.random).empty());
     starting.answer(DirectoryCall::Kind::List,
                     DirectoryPage { .items = { catalogue(1, 1) }, .more = true, .lastKey = "a", .asOf = { 3 } },
@@ -587,8 +595,13 @@
             Vm &above = *chain[i - 1];
             const auto call = chain[i]->reader.nextCall(now);
             ASSERT_TRUE(call && call->kind == DirectoryCall::Kind::Follow);
-            above.relay.handleRequest(
-                FollowerId { i }, { .after = call->after, .catalogue = call->catalogue, .wait = 0ms, .listening = plainVm, .zone = "kgd-north" }, now);
+            above.relay.handleRequest(FollowerId { i },
+                                      { .after = call->after,
+                                        .catalogue = call->catalogue,
+                                        .wait = 0ms,
+                                        .listening = plainVm,
+                                        .zone = "kgd-north" },
+                                      now);
             for (const RelayAnswer &relayAnswer : above.relay.takeAnswers(now, random)) {
                 chain[i]->reader.handleAnswer({ .callId = call->id, .result = wholeAnswer(relayAnswer) }, now, random);
             }
--- a/tests/views/relay_start_test.cpp
+++ b/tests/views/relay_start_test.cpp
@@ -95,8 +95,8 @@
     EXPECT_LE(start.nextCall(now)->relay, vmAt(3)) << "back to the list";
 }
 
-// Guards the VMs that wait for a relay which got power later than the others: it takes the records of a VM that announces
-// itself, even while it waits for another relay.
+// Guards the VMs that wait for a relay which got power later than the others: it takes the records of a VM that
+// announces itself, even while it waits for another relay.
 TEST_F(RelayStartTest, AsksAVmThatAnnouncesItself)
 {
     const auto waiting = start.nextCall(now);
--- a/views/catalogue_mirror.h
+++ b/views/catalogue_mirror.h
@@ -35,8 +35,8 @@
     /// @p revision.
     bool isNewerThan(CatalogueVersion version, DirectoryRevision revision) const;
 
-    /// The catalogue as changes from version @p base if that version is known here, otherwise whole. Precondition: there
-    /// is a catalogue.
+    /// The catalogue as changes from version @p base if that version is known here, otherwise whole. Precondition:
+    /// there is a catalogue.
     DirectoryItem changesFrom(CatalogueVersion base) const;
 
     /// Idle timeout of flows; std::nullopt if the catalogue sets none.
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -83,8 +83,7 @@
     /// The latest state of all records that changed after revision @p after, removals included. The catalogue is
     /// included if it is newer than version @p catalogue, as changes from that version if it is known here; for version
     /// 0, if it changed after @p after.
-    std::vector<DirectoryItem>
-    changesSince(DirectoryRevision after, CatalogueVersion catalogue, TimePoint now) const;
+    std::vector<DirectoryItem> changesSince(DirectoryRevision after, CatalogueVersion catalogue, TimePoint now) const;
 
     /// Updates the upstreams whose grace or retention period has expired.
     std::vector<MirrorChange> tick(TimePoint now);
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -239,14 +239,10 @@
     }
 }
 
-bool DirectoryReader::adoptRecords(const Endpoint &relay,
-                                   const DirectoryChanges &records,
-                                   Acceptance acceptance,
-                                   TimePoint now,
-                                   Random &random)
+bool DirectoryReader::adoptRecords(
+    const Endpoint &relay, const DirectoryChanges &records, Acceptance acceptance, TimePoint now, Random &random)
 {
-    const bool listingIsSlow =
-        failures_ > 0 || (inProgress_ && now - startedAt_ >= settings_.follow.firstListTimeout);
+    const bool listingIsSlow = failures_ > 0 || (inProgress_ && now - startedAt_ >= settings_.follow.firstListTimeout);
     const Duration maxStaleness = listingIsSlow && acceptance == Acceptance::AlsoStale
         ? settings_.follow.maxInitialStaleness
         : settings_.follow.maxStaleness;
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -151,13 +151,10 @@
     enum class Acceptance : std::uint8_t { Fresh, AlsoStale };
 
     /// Takes all records of a relay in place of a listing. Returns false, and takes nothing, if this VM has all records
-    /// already, or if those of the relay are too stale. Stale ones are never taken before the own listing failed or took
-    /// FollowSettings::firstListTimeout.
-    bool adoptRecords(const Endpoint &relay,
-                      const DirectoryChanges &records,
-                      Acceptance acceptance,
-                      TimePoint now,
-                      Random &random);
+    /// already, or if those of the relay are too stale. Stale ones are never taken before the own listing failed or
+    /// took FollowSettings::firstListTimeout.
+    bool adoptRecords(
+        const Endpoint &relay, const DirectoryChanges &records, Acceptance acceptance, TimePoint now, Random &random);
 
     /// When to call abandonsListing(); std::nullopt if no call in progress can be abandoned.
     std::optional<TimePoint> listingCheckAt() const;
--- a/views/directory_relay.cpp
+++ b/views/directory_relay.cpp
@@ -48,9 +48,8 @@
 std::vector<RelayAnswer> DirectoryRelay::takeAnswers(TimePoint now, Random &random)
 {
     std::vector<RelayAnswer> answers;
-    std::erase_if(followers_, [&](const auto &known) {
-        return now - known.second.lastRequest >= settings_.followerRetention;
-    });
+    std::erase_if(followers_,
+                  [&](const auto &known) { return now - known.second.lastRequest >= settings_.followerRetention; });
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         auto &[follower, waiting] = *it;
         const Endpoint &listening = waiting.request.listening;
--- a/views/directory_relay.h
+++ b/views/directory_relay.h
@@ -28,8 +28,8 @@
     /// A VM without a request for this long no longer counts as a follower. Followers ask about twice a second, or
     /// every 3 s while this VM isn't up to date.
     Duration followerRetention = std::chrono::seconds(10);
-    /// How long records are used for several answers. They contain how much longer upstreams are slow after their start,
-    /// which may be wrong by this much.
+    /// How long records are used for several answers. They contain how much longer upstreams are slow after their
+    /// start, which may be wrong by this much.
     Duration cacheTime = std::chrono::milliseconds(500);
     /// How long answers report an outage of the directory after its end: as long as records may lapse because of it.
     Duration outageRetention = std::chrono::seconds(5);
