--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -27,6 +27,13 @@
   target_link_options(boragelug_options INTERFACE -fsanitize=address,undefined)
 endif()
 
+if(BORAGELUG_FUZZ)
+  # GCC does not include sign conversions in -Wconversion. The fuzzer has a main() of its own in each target.
+  target_compile_options(boragelug_options INTERFACE -Wno-sign-conversion -fsanitize=fuzzer-no-link,address,undefined
+                                                     -fno-sanitize-recover=all)
+  target_link_options(boragelug_options INTERFACE -fsanitize=address,undefined)
+endif()
+
 # Adds the library of one layer from all of its .cpp files.
 function(boragelug_layer NAME)
   file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
