Keep the watch in progress when an announcement is answered

DirectoryCalls took the answer for records that replace a listing, and cancelled the call in progress to the directory, which was the watch by then. The reader waited for its answer for ever, so that the relay and its followers read no further change. Change: a call is cancelled only if the node no longer waits for it.

--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -96,6 +96,10 @@
     /// When nextCall() is due; std::nullopt while a call is in progress.
     std::optional<TimePoint> nextCallAt() const { return reader_.nextCallAt(); }
 
+    /// Id of the call of nextCall() whose answer the node waits for; std::nullopt if there is none. An earlier call
+    /// that has not ended has to be cancelled.
+    std::optional<std::uint64_t> directoryCallInProgress() const { return reader_.callInProgress(); }
+
     /// Calls to a relay for all records, while the VM has none: nextStartCall() and nextStartCallAt() are used like
     /// nextCall() and nextCallAt(), and the answers go to handleStartAnswer().
     std::optional<DirectoryCall> nextStartCall(TimePoint now) { return start_.nextCall(now); }
--- a/programs/directory_calls.cpp
+++ b/programs/directory_calls.cpp
@@ -95,8 +95,8 @@
     }
     const absl::Cleanup next = [this] { updateSoon(); };
     handler_(node_.handleStartAnswer(answer, now()));
-    // The records of the relay replace a listing in progress.
-    if (directoryCall_ && !node_.isStarting()) {
+    // The records of a relay replace a listing in progress. The answer to an announcement replaces nothing.
+    if (directoryCall_ && node_.directoryCallInProgress() != directoryCall_) {
         directory_.cancel(*std::exchange(directoryCall_, std::nullopt));
     }
 }
