Limit the health checks that a single unanswered packet leads to

Change: checks after one unanswered packet or a stalled request come from a budget of 4 and 0.2 a second; a check that finds the upstream silent is returned to it, so that many crashed upstreams are still checked at once. After a second unanswered packet an upstream is checked whatever the budget. Tests: EarlyCheckTest, 40 upstreams that answer late and 40 that crash; the first fails without the change.

--- a/core/token_bucket.h
+++ b/core/token_bucket.h
@@ -37,6 +37,13 @@
         return true;
     }
 
+    /// Returns @p amount tokens; those above the burst are dropped.
+    void put(double amount, TimePoint now)
+    {
+        refill(now);
+        tokens_ = std::min(burst_, tokens_ + amount);
+    }
+
     /// Tokens at @p now.
     double available(TimePoint now)
     {
--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -31,25 +31,32 @@
     return now < health.ejectedUntil;
 }
 
-bool beginCheckIfDue(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
-{
-    return health.consecutiveUnanswered >= settings.unansweredToCheck
-        && beginCheckOfStalledRequest(health, settings, now);
-}
-
-bool beginCheckOfStalledRequest(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
+bool beginCheckIfDue(PassiveHealth &health,
+                     CheckCause cause,
+                     EarlyCheckBudget &budget,
+                     const PassiveHealthSettings &settings,
+                     TimePoint now)
 {
     if (now - health.checkRequestedAt < settings.checkInterval) {
         return false;
     }
+    const bool isEarly =
+        cause == CheckCause::StalledRequest || health.consecutiveUnanswered < settings.unansweredToCheck;
+    if (isEarly && !budget.take(now)) {
+        return false;
+    }
     health.checkRequestedAt = now;
+    health.checkIsEarly = isEarly;
     return true;
 }
 
-void recordCheckResult(PassiveHealth &health, bool answered, TimePoint now)
+void recordCheckResult(PassiveHealth &health, bool answered, EarlyCheckBudget &budget, TimePoint now)
 {
     const bool progressMeanwhile = health.lastProgressAt >= health.checkRequestedAt;
     health.silentSince = answered || progressMeanwhile ? TimePoint {} : now;
+    if (health.checkIsEarly && !answered) {
+        budget.giveBack(now);
+    }
 }
 
 bool isSilent(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_point.h"
+#include "core/token_bucket.h"
 
 #include <cstdint>
 
@@ -21,8 +22,10 @@
     TimePoint ejectedUntil;
     /// Ejections since the last progress; each doubles the duration of the next.
     std::uint32_t consecutiveEjections = 0;
-    /// When the last active check of the upstream's address was requested.
+    /// When the last active check of the upstream's address was requested, and whether the budget of early checks was
+    /// charged for it.
     TimePoint checkRequestedAt;
+    bool checkIsEarly = false;
     /// When an active check of the upstream's address failed; the epoch if the last check succeeded or the upstream
     /// made progress since.
     TimePoint silentSince;
@@ -34,9 +37,14 @@
     /// Number of consecutive unanswered packets that eject an upstream. A single one proves nothing, because datagrams
     /// get lost now and then.
     std::uint32_t unansweredToEject = 2;
-    /// Number of consecutive unanswered packets after which an upstream's address is checked actively. In a large
-    /// fleet, a VM has one or two flows at an upstream, so that more evidence would come too late.
-    std::uint32_t unansweredToCheck = 1;
+    /// Number of consecutive unanswered packets after which an upstream's address is checked actively, whatever the
+    /// budget of early checks.
+    std::uint32_t unansweredToCheck = 2;
+    /// Rate in checks per second, and burst, of early checks that find an upstream alive. An early check follows the
+    /// first unanswered packet: in a large fleet, a VM has one or two flows at an upstream, so that a second packet
+    /// comes too late. But requests that take longer than the callers' retransmission timeout look the same.
+    double falseAlarmsPerSecond = 0.2;
+    double falseAlarmBurst = 4;
     /// Duration of the first ejection; doubles with each consecutive ejection up to the maximum.
     Duration baseEjectionTime = std::chrono::milliseconds(800);
     Duration maxEjectionTime = std::chrono::seconds(4);
@@ -60,15 +68,44 @@
 /// Whether the upstream is ejected from placement now.
 bool isEjected(const PassiveHealth &health, TimePoint now);
 
-/// Whether an active check of the upstream's address is due now because of unanswered packets; if so, marks it as
-/// requested.
-bool beginCheckIfDue(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+/// What makes an active check of an upstream necessary.
+enum class CheckCause : std::uint8_t {
+    UnansweredPacket, ///< A caller retransmitted a packet.
+    StalledRequest, ///< A request has no answer, though its packets were acknowledged.
+};
+
+/**
+ * Limits the active checks that single unanswered packets and stalled requests lead to.
+ *
+ * Each check costs the upstream two connections. A check that finds its upstream silent is returned to the budget, so
+ * that a crash of many upstreams is detected at once. Not synchronized: one thread at a time.
+ */
+class EarlyCheckBudget
+{
+public:
+    explicit EarlyCheckBudget(const PassiveHealthSettings &settings)
+        : tokens_(settings.falseAlarmsPerSecond, settings.falseAlarmBurst, TimePoint {})
+    { }
+
+    /// Takes one check, if one is left.
+    bool take(TimePoint now) { return tokens_.take(1, now); }
+
+    /// Returns the check of an upstream that was found silent.
+    void giveBack(TimePoint now) { tokens_.put(1, now); }
+
+private:
+    TokenBucket tokens_;
+};
 
-/// The same for a request without an answer, whose packets were all acknowledged: only the interval counts.
-bool beginCheckOfStalledRequest(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+/// Whether an active check of the upstream's address is due now; if so, marks it as requested.
+bool beginCheckIfDue(PassiveHealth &health,
+                     CheckCause cause,
+                     EarlyCheckBudget &budget,
+                     const PassiveHealthSettings &settings,
+                     TimePoint now);
 
 /// Records the result of the check that was requested at PassiveHealth::checkRequestedAt.
-void recordCheckResult(PassiveHealth &health, bool answered, TimePoint now);
+void recordCheckResult(PassiveHealth &health, bool answered, EarlyCheckBudget &budget, TimePoint now);
 
 /// Whether a recent active check of the upstream failed, and no flow made progress since the check was requested.
 bool isSilent(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -125,7 +125,7 @@
 {
     ++counters_.unansweredPackets;
     recordUnanswered(upstream.health, settings_.health, now);
-    if (beginCheckIfDue(upstream.health, settings_.health, now)) {
+    if (beginCheckIfDue(upstream.health, CheckCause::UnansweredPacket, earlyChecks_, settings_.health, now)) {
         requestCheck(upstream);
     }
 }
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -50,6 +50,7 @@
 TaggedRouter::TaggedRouter(const TaggedRouterSettings &settings)
     : settings_(settings)
     , random_(settings.seed)
+    , earlyChecks_(settings.health)
 { }
 
 void TaggedRouter::applyView(std::shared_ptr<const DirectoryView> view, TimePoint now)
@@ -392,7 +393,7 @@
     if (found == upstreams_.end()) {
         return;
     }
-    boragelug::recordCheckResult(found->second->health, answered, now);
+    boragelug::recordCheckResult(found->second->health, answered, earlyChecks_, now);
     if (isSilent(found->second->health, settings_.health, now)) {
         silentUpstreams_.push_back(found->second);
     }
@@ -471,7 +472,7 @@
     }
     const DirectoryEntry *entry = findEntry(address);
     if (entry != nullptr && entry->idempotent
-        && beginCheckOfStalledRequest(flow.upstream->health, settings_.health, now)) {
+        && beginCheckIfDue(flow.upstream->health, CheckCause::StalledRequest, earlyChecks_, settings_.health, now)) {
         requestCheck(*flow.upstream);
     }
 }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -326,6 +326,7 @@
     absl::flat_hash_map<FlowId, Flow> flows_;
     std::map<ServiceId, ServiceAdmission> admissions_;
     std::vector<UpstreamCheck> checks_;
+    EarlyCheckBudget earlyChecks_;
     /// Upstreams whose last check failed or whose address is used again, and whose flows were not reset yet.
     std::vector<std::shared_ptr<TrackedUpstream>> silentUpstreams_;
     TimePoint nextSweep_;
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -364,6 +364,67 @@
     ASSERT_EQ(router.takeChecks().size(), 1U);
 }
 
+/// An upstream that crashed leaves one packet unanswered at each of many VMs; a slow service does so all the time.
+class EarlyCheckTest : public TaggedRouterTest
+{
+protected:
+    static constexpr std::uint64_t upstreams = 40;
+
+    EarlyCheckTest()
+    {
+        std::vector<DirectoryUpstream> listed;
+        for (std::uint64_t id = 1; id <= upstreams; ++id) {
+            listed.push_back(upstream(id, ledger, home));
+        }
+        router.applyView(view(std::move(listed)), now);
+    }
+
+    /// One packet at each upstream stays unanswered; returns the number of checks that follow, with the given result.
+    std::size_t leaveUnanswered(bool alive)
+    {
+        ++round_;
+        std::size_t checks = 0;
+        for (std::uint64_t id = 1; id <= upstreams; ++id) {
+            const auto caller = static_cast<std::uint32_t>(id);
+            const FlowPacket packet = data(syn(caller, round_), flowTagOf(UpstreamId { id }, Incarnation { 1 }), 0, 1);
+            route(packet);
+            now += 200ms;
+            route(packet);
+            for (const UpstreamCheck &check : router.takeChecks()) {
+                ++checks;
+                router.recordCheckResult(check, alive, now);
+            }
+            FlowPacket answered = packet;
+            answered.dataBytes = 0;
+            answered.acknowledged = 500;
+            if (alive) {
+                route(answered);
+            }
+        }
+        return checks;
+    }
+
+private:
+    std::uint16_t round_ = 0;
+};
+
+// A service whose requests take longer than the retransmission timeout must not get two connections for each of them.
+TEST_F(EarlyCheckTest, LimitsChecksOfUpstreamsThatAnswerLate)
+{
+    const PassiveHealthSettings health;
+    const TimePoint start = now;
+    const std::size_t checks = leaveUnanswered(true) + leaveUnanswered(true);
+    const double seconds = std::chrono::duration<double>(now - start).count();
+    EXPECT_LE(checks, health.falseAlarmBurst + health.falseAlarmsPerSecond * seconds + 1);
+    EXPECT_GE(checks, 1U);
+}
+
+// A crash of many upstreams at once must be detected as fast as that of one.
+TEST_F(EarlyCheckTest, ChecksAllUpstreamsThatCrashed)
+{
+    EXPECT_EQ(leaveUnanswered(false), upstreams);
+}
+
 // Callers of an upstream that crashed must be told as soon as that is known. With the reset of their next packet only,
 // they lose up to 1.6 s until they retransmit.
 TEST_F(SilentUpstreamTest, ResetsItsFlowsWithoutAPacketOfTheCaller)
--- a/tests/views/catalogue_mirror_test.cpp
+++ b/tests/views/catalogue_mirror_test.cpp
@@ -109,6 +109,7 @@
                 }
             }
             std::vector<EntryRecord> list;
+            list.reserve(entries.size());
             for (const auto &[address, record] : entries) {
                 list.push_back(record);
             }
