Send all records to followers that a relay's history does not cover

Cause: found from reading, for the report that a server which had left was in use again after a restart. A relay that was restarted, or that had to list the directory again, has no record of a host that left meanwhile, and so no removal to pass on. A follower that was cut off from the directory in that time still had the host, took the relay's revision, and kept the host for ever. Change: the mirror remembers the gaps in its history (DirectoryMirror::knowsRemovalsSince). A follower whose revision lies within one gets all records, marked as complete (new optional field of RelayAnswer), and removes others. VMs of the build before ignore the field. Tests: DirectoryFollowTest.LosesWhatARestartedRelayNoLongerHas fails without the change; gaps are joined beyond 16, none is forgotten (DirectoryMirrorTest); RelayDriversTest.TakesNoCopyOfAnEarlierAnswer shows that a second copy of an answer on a connection in use is not taken for the next one. Conclusion: followers that were up to date with a relay before its listing still get changes only.

--- a/drivers/relay_codec.cpp
+++ b/drivers/relay_codec.cpp
@@ -292,6 +292,9 @@
     out.asOf = toWire(changes.asOf.value);
     out.ageNanoseconds = changes.age.count();
     out.__set_requestId(toWire(message.requestId));
+    if (changes.complete) {
+        out.__set_complete(true);
+    }
     if (changes.sinceOutage) {
         out.__set_outageNanoseconds(changes.sinceOutage->count());
     }
@@ -337,6 +340,7 @@
     DirectoryChanges &changes = message.changes;
     changes.asOf = DirectoryRevision { fromWire(in->asOf) };
     changes.age = Duration(in->ageNanoseconds);
+    changes.complete = in->__isset.complete && in->complete;
     if (in->__isset.outageNanoseconds) {
         changes.sinceOutage = Duration(in->outageNanoseconds);
     }
--- a/gen/relay_types.cpp
+++ b/gen/relay_types.cpp
@@ -1631,6 +1631,11 @@
   this->requestId = val;
 __isset.requestId = true;
 }
+
+void RelayAnswer::__set_complete(const bool val) {
+  this->complete = val;
+__isset.complete = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
   obj.printTo(out);
@@ -1759,6 +1764,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1841,6 +1854,11 @@
     xfer += oprot->writeI64(this->requestId);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.complete) {
+    xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->complete);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1857,6 +1875,7 @@
   swap(a.elsewhere, b.elsewhere);
   swap(a.packed, b.packed);
   swap(a.requestId, b.requestId);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
@@ -1870,6 +1889,7 @@
   elsewhere = other58.elsewhere;
   packed = other58.packed;
   requestId = other58.requestId;
+  complete = other58.complete;
   __isset = other58.__isset;
 }
 RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other59) {
@@ -1882,6 +1902,7 @@
   elsewhere = other59.elsewhere;
   packed = other59.packed;
   requestId = other59.requestId;
+  complete = other59.complete;
   __isset = other59.__isset;
   return *this;
 }
@@ -1897,6 +1918,7 @@
   out << ", " << "elsewhere="; (__isset.elsewhere ? (out << to_string(elsewhere)) : (out << "<null>"));
   out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
   out << ", " << "requestId="; (__isset.requestId ? (out << to_string(requestId)) : (out << "<null>"));
+  out << ", " << "complete="; (__isset.complete ? (out << to_string(complete)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/relay_types.h
+++ b/gen/relay_types.h
@@ -585,12 +585,13 @@
 std::ostream& operator<<(std::ostream& out, const RelayRecords& obj);
 
 typedef struct _RelayAnswer__isset {
-  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false), packed(false), requestId(false) {}
+  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false), packed(false), requestId(false), complete(false) {}
   bool outageNanoseconds :1;
   bool catalogue :1;
   bool elsewhere :1;
   bool packed :1;
   bool requestId :1;
+  bool complete :1;
 } _RelayAnswer__isset;
 
 class RelayAnswer : public virtual ::apache::thrift::TBase {
@@ -603,7 +604,8 @@
                 ageNanoseconds(0),
                 outageNanoseconds(0),
                 packed(),
-                requestId(0) {
+                requestId(0),
+                complete(0) {
   }
 
   virtual ~RelayAnswer() noexcept;
@@ -631,6 +633,10 @@
    * That of the request.
    */
   int64_t requestId;
+  /**
+   * The upstreams are all that exist: the receiver removes any other one.
+   */
+  bool complete;
 
   _RelayAnswer__isset __isset;
 
@@ -652,6 +658,8 @@
 
   void __set_requestId(const int64_t val);
 
+  void __set_complete(const bool val);
+
   bool operator == (const RelayAnswer & rhs) const
   {
     if (!(asOf == rhs.asOf))
@@ -682,6 +690,10 @@
       return false;
     else if (__isset.requestId && !(requestId == rhs.requestId))
       return false;
+    if (__isset.complete != rhs.__isset.complete)
+      return false;
+    else if (__isset.complete && !(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const RelayAnswer &rhs) const {
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -156,6 +156,8 @@
 {
     std::vector<DirectoryItem> items;
     DirectoryRevision asOf;
+    /// Follow: the items are all upstream records that exist, so that any other one was removed.
+    bool complete = false;
     /// Follow: how long ago the answering VM was certainly up to date.
     Duration age {};
     /// Follow: how long ago an outage of the directory ended for that VM; nothing if that is long ago.
--- a/tests/drivers/relay_test.cpp
+++ b/tests/drivers/relay_test.cpp
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <span>
@@ -53,6 +54,7 @@
     changes.age = 321ms;
     changes.sinceOutage = 2s;
     changes.elsewhere = anyLocal;
+    changes.complete = true;
     return changes;
 }
 
@@ -75,6 +77,7 @@
     EXPECT_EQ(decoded->changes.age, changes.age);
     EXPECT_EQ(decoded->changes.sinceOutage, changes.sinceOutage);
     EXPECT_EQ(decoded->changes.elsewhere, changes.elsewhere);
+    EXPECT_TRUE(decoded->changes.complete);
     const RelayRequestMessage request {
         .request = { .after = { 8 }, .catalogue = { 3 }, .wait = 500ms, .listening = anyLocal, .zone = "kgd-north" },
         .id = 18,
@@ -237,6 +240,28 @@
     EXPECT_EQ(std::get<DirectoryFailure>(answer->result).error, DirectoryError::Unreachable);
 }
 
+// Guards a VM from a relay that sends an answer twice on a connection that stays open: the copy must not be taken for
+// the answer to the next call.
+TEST_F(RelayDriversTest, TakesNoCopyOfAnEarlierAnswer)
+{
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+    asio::ip::tcp::socket socket(context);
+    std::array<std::byte, 1024> request {};
+    acceptor.async_accept(socket, [&](const asio::error_code &) {
+        socket.async_read_some(asio::buffer(request), [&](const asio::error_code &, std::size_t) {
+            const auto answer = encodeRelayAnswer({ .changes = sampleChanges(), .requestId = 1 });
+            asio::write(socket, asio::buffer(answer));
+            asio::write(socket, asio::buffer(answer));
+        });
+    });
+    const Endpoint relay { .address = { 0x7f000001 }, .port = { acceptor.local_endpoint().port() } };
+    const auto first = follow(relay, 10s);
+    ASSERT_TRUE(first && std::holds_alternative<DirectoryChanges>(first->result));
+    const auto second = follow(relay, 10s);
+    ASSERT_TRUE(second && std::holds_alternative<DirectoryFailure>(second->result));
+    EXPECT_EQ(std::get<DirectoryFailure>(second->result).error, DirectoryError::Malformed);
+}
+
 // Guards a relay's memory from a peer that sends something else.
 TEST_F(RelayDriversTest, ClosesConnectionsThatSendNoRequest)
 {
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -400,6 +400,39 @@
     TimePoint now { 100s };
 };
 
+// Guards against an upstream that left while a relay was restarted: the relay never had its record, and so knows of no
+// removal, but a follower that was cut off from the directory meanwhile still has it.
+TEST_F(DirectoryFollowTest, LosesWhatARestartedRelayNoLongerHas)
+{
+    vm.answer(DirectoryCall::Kind::Follow, changes({ host(2, 3), host(3, 4) }, 4), now);
+    ASSERT_EQ(listedHosts(), 3U);
+    Vm restarted(firstRelay);
+    restarted.list({ catalogue(1, 1), host(1, 2), host(4, 8) }, 9, now);
+
+    const auto call = vm.reader.nextCall(now);
+    ASSERT_TRUE(call);
+    FollowRequest request {
+        .after = call->after, .catalogue = call->catalogue, .wait = 0ms, .listening = plainVm, .zone = "kgd-north"
+    };
+    restarted.relay.handleRequest(FollowerId { 1 }, request, now);
+    const auto answers = restarted.relay.takeAnswers(now, restarted.random);
+    ASSERT_EQ(answers.size(), 1U);
+    vm.reader.handleAnswer({ .callId = call->id, .result = wholeAnswer(answers.front()) }, now, vm.random);
+
+    EXPECT_EQ(listedHosts(), 2U) << "hosts 1 and 4";
+    const auto next = vm.reader.nextCall(now);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->after, DirectoryRevision { 9 });
+
+    // From then on, the relay knows all changes after the follower's revision.
+    request.after = next->after;
+    restarted.relay.handleRequest(FollowerId { 1 }, request, now);
+    const auto unchanged = restarted.relay.takeAnswers(now, restarted.random);
+    ASSERT_EQ(unchanged.size(), 1U);
+    EXPECT_FALSE(unchanged.front().records);
+    EXPECT_FALSE(unchanged.front().changes.complete);
+}
+
 // Guards the bound for changes: a follower's long poll is answered as soon as there is a change, removals included.
 TEST_F(DirectoryRelayTest, SendsChangesAtOnce)
 {
--- a/tests/views/directory_test.cpp
+++ b/tests/views/directory_test.cpp
@@ -134,6 +134,34 @@
     EXPECT_EQ(find(2)->listing, Listing::Listed);
 }
 
+// Guards against a follower that keeps a host for ever, because its relay never heard of the host's removal.
+TEST_F(DirectoryMirrorTest, KnowsItsHistoryExceptBeforeListings)
+{
+    DirectoryMirror fresh({ .zone = "kgd-north" });
+    const auto list = [&](std::uint64_t asOf) {
+        fresh.beginListing({ asOf });
+        fresh.endListing(now);
+    };
+    list(10);
+    EXPECT_TRUE(fresh.knowsRemovalsSince({})) << "a VM without records";
+    EXPECT_FALSE(fresh.knowsRemovalsSince({ 9 }));
+    EXPECT_TRUE(fresh.knowsRemovalsSince({ 10 }));
+    DirectoryChanges watched;
+    watched.asOf = { 20 };
+    fresh.applyChanges(watched, now);
+    list(30);
+    EXPECT_TRUE(fresh.knowsRemovalsSince({ 15 }));
+    EXPECT_TRUE(fresh.knowsRemovalsSince({ 20 })) << "a follower that was up to date with this mirror";
+    EXPECT_FALSE(fresh.knowsRemovalsSince({ 25 }));
+    // Many listings must not need more and more memory, and no gap may be forgotten.
+    for (std::uint64_t asOf = 40; asOf < 2000; asOf += 10) {
+        list(asOf);
+        EXPECT_FALSE(fresh.knowsRemovalsSince({ asOf - 1 }));
+    }
+    EXPECT_FALSE(fresh.knowsRemovalsSince({ 25 }));
+    EXPECT_FALSE(fresh.knowsRemovalsSince({ 9 }));
+}
+
 // Guards memory use: removed hosts are evicted after the retention period, when no flow to them can be left.
 TEST_F(DirectoryMirrorTest, EvictsRemovedHostsAfterTheRetention)
 {
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -92,4 +92,6 @@
   8: optional binary packed
   /** That of the request. */
   9: optional i64 requestId
+  /** The upstreams are all that exist: the receiver removes any other one. */
+  10: optional bool complete
 }
--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -12,6 +12,9 @@
 // revision again.
 constexpr std::size_t maxRetainedRemovals = 10'000;
 
+// Limit of separate gaps in the history; the oldest ones are joined.
+constexpr std::size_t maxHistoryGaps = 16;
+
 MirrorChange makeChange(MirrorChange::Kind kind, const DirectoryItem &item, std::string detail)
 {
     return { .kind = kind, .key = item.key, .upstream = {}, .revision = item.revision, .detail = std::move(detail) };
@@ -41,6 +44,24 @@
 {
     listedRevisions_.clear();
     listedAsOf_ = asOf;
+    if (!gapStart_) {
+        gapStart_ = complete_ ? revision_ : DirectoryRevision {};
+    }
+}
+
+void DirectoryMirror::addHistoryGap(const HistoryGap &gap)
+{
+    gaps_.push_back(gap);
+    if (gaps_.size() > maxHistoryGaps) {
+        gaps_[1].from = gaps_[0].from;
+        gaps_.erase(gaps_.begin());
+    }
+}
+
+bool DirectoryMirror::knowsRemovalsSince(DirectoryRevision after) const
+{
+    return std::none_of(
+        gaps_.begin(), gaps_.end(), [&](const HistoryGap &gap) { return gap.from < after && after < gap.to; });
 }
 
 std::vector<MirrorChange> DirectoryMirror::applyPage(const DirectoryPage &page, TimePoint now)
@@ -69,6 +90,10 @@
         markUnlisted(key, revision, now, changes);
     }
     listedRevisions_.clear();
+    if (gapStart_) {
+        addHistoryGap({ .from = *gapStart_, .to = listedAsOf_ });
+        gapStart_.reset();
+    }
     complete_ = true;
     return changes;
 }
@@ -241,6 +266,7 @@
         if (status.listing == Listing::Gone && now - status.vanishedAt >= settings_.removedRetention) {
             if (removedRevisions_.size() >= maxRetainedRemovals) {
                 removedRevisions_.clear();
+                gaps_ = { { .from = {}, .to = revision_ } };
             }
             removedRevisions_[it->first] = it->second.revision;
             published_.reset();
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -66,10 +66,6 @@
     /// Ends a full listing: upstreams that are in none of its pages count as removed.
     std::vector<MirrorChange> endListing(TimePoint now);
 
-    /// Marks the mirror as complete because a relay sent all records. As after endListing(), upstreams added from now
-    /// on are new.
-    void markComplete() { complete_ = true; }
-
     /// Applies changes in the given order.
     std::vector<MirrorChange> applyChanges(const DirectoryChanges &changes, TimePoint now);
 
@@ -80,6 +76,10 @@
     /// When the last outage of the directory ended; std::nullopt if there was none.
     const std::optional<TimePoint> &outageEnd() const { return outageEnd_; }
 
+    /// Whether changesSince(@p after) has all removals since then. A VM that was up to date within a time for which
+    /// this mirror has no history may have records that this one never had.
+    bool knowsRemovalsSince(DirectoryRevision after) const;
+
     /// The latest state of all records that changed after revision @p after, removals included. The catalogue is
     /// included if it is newer than version @p catalogue, as changes from that version if it is known here; for version
     /// 0, if it changed after @p after.
@@ -98,6 +98,13 @@
     CatalogueVersion catalogueVersion() const { return catalogue_.version(); }
 
 private:
+    /// A record that was added and removed between these revisions is unknown.
+    struct HistoryGap
+    {
+        DirectoryRevision from;
+        DirectoryRevision to;
+    };
+
     struct KnownUpstream
     {
         DirectoryRevision revision;
@@ -117,6 +124,7 @@
                        std::vector<MirrorChange> &changes);
     void
     markUnlisted(const std::string &key, DirectoryRevision revision, TimePoint now, std::vector<MirrorChange> &changes);
+    void addHistoryGap(const HistoryGap &gap);
     void retireIncarnation(const KnownUpstream &known, TimePoint now);
     ServiceId serviceNumber(const std::string &name);
     ZoneId zoneNumber(const std::string &name);
@@ -127,6 +135,10 @@
     std::vector<DirectoryUpstream> earlierIncarnations_;
     /// Revision of the removal of each record that is no longer in @c upstreams_.
     std::map<std::string, DirectoryRevision> removedRevisions_;
+    /// Gaps in the history, in order, each from the last change before a full listing to that listing.
+    std::vector<HistoryGap> gaps_;
+    /// Start of the gap that the listing in progress ends; std::nullopt if there is none.
+    std::optional<DirectoryRevision> gapStart_;
     /// Revisions of the records in the listing in progress.
     std::map<std::string, DirectoryRevision> listedRevisions_;
     DirectoryRevision listedAsOf_;
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -192,7 +192,7 @@
     if (changes.sinceOutage) {
         mirror_.recordOutage(now - *changes.sinceOutage);
     }
-    outcome.changes = mirror_.applyChanges(changes, now);
+    outcome.changes = changes.complete ? applyAllRecords(changes, now) : mirror_.applyChanges(changes, now);
     recordRelayAnswer(changes, now);
     if (!following_) {
         outcome.followedRelay = call.relay;
@@ -200,6 +200,16 @@
     following_ = true;
 }
 
+std::vector<MirrorChange> DirectoryReader::applyAllRecords(const DirectoryChanges &records, TimePoint now)
+{
+    mirror_.beginListing(records.asOf);
+    std::vector<MirrorChange> changes =
+        mirror_.applyPage({ .items = records.items, .more = false, .lastKey = {}, .asOf = records.asOf }, now);
+    std::vector<MirrorChange> ended = mirror_.endListing(now);
+    changes.insert(changes.end(), std::make_move_iterator(ended.begin()), std::make_move_iterator(ended.end()));
+    return changes;
+}
+
 std::string DirectoryReader::reasonToReject(const DirectoryChanges &changes) const
 {
     if (changes.elsewhere) {
@@ -253,9 +263,7 @@
         mirror_.recordOutage(now - *records.sinceOutage);
     }
     // A listing that did not end may have left records that were removed since.
-    mirror_.beginListing(records.asOf);
-    mirror_.applyPage({ .items = records.items, .more = false, .lastKey = {}, .asOf = records.asOf }, now);
-    mirror_.endListing(now);
+    applyAllRecords(records, now);
     if (!mirror_.hasCatalogue()) {
         return false;
     }
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -196,6 +196,8 @@
     bool mayFollow(TimePoint now) const;
     /// Why an answer of a relay isn't used; empty if it is.
     std::string reasonToReject(const DirectoryChanges &changes) const;
+    /// Applies @p records as a full listing: other records were removed.
+    std::vector<MirrorChange> applyAllRecords(const DirectoryChanges &records, TimePoint now);
     void recordRelayAnswer(const DirectoryChanges &changes, TimePoint now);
     void handleFollowFailure(
         const DirectoryCall &call, std::string reason, TimePoint now, Random &random, ReaderOutcome &outcome);
--- a/views/directory_relay.cpp
+++ b/views/directory_relay.cpp
@@ -83,6 +83,7 @@
     if (reader_.isComplete()) {
         answer.records = recordsFor(request, now);
         answer.changes.asOf = reader_.syncedRevision();
+        answer.changes.complete = answer.records && !mirror_.knowsRemovalsSince(request.after);
     }
     // A VM that was never up to date reports the maximum staleness.
     answer.changes.age = reader_.staleness(now).value_or(Duration::max());
@@ -101,7 +102,8 @@
     }
     const auto [found, isNew] = cachedRecords_.try_emplace({ request.after, request.catalogue });
     if (isNew) {
-        auto items = mirror_.changesSince(request.after, request.catalogue, now);
+        const bool needsAll = !mirror_.knowsRemovalsSince(request.after);
+        auto items = mirror_.changesSince(needsAll ? DirectoryRevision {} : request.after, request.catalogue, now);
         if (!items.empty()) {
             found->second = std::make_shared<const std::vector<DirectoryItem>>(std::move(items));
         }
