--- a/fuzz/make_corpus.cpp
+++ b/fuzz/make_corpus.cpp
@@ -61,9 +61,11 @@
     RelayAnswerMessage message { .changes = {}, .requestId = 5 };
     message.changes.asOf = DirectoryRevision { 9 };
     message.changes.age = std::chrono::milliseconds(20);
-    const std::vector<DirectoryItem> items { { .key = "op/config", .revision = { 7 }, .content = catalogue() },
-                                             { .key = "servers/a", .revision = { 8 }, .content = upstream() },
-                                             { .key = "servers/b", .revision = { 9 }, .content = RemovedRecord {} } };
+    const std::vector<DirectoryItem> items {
+        { .key = soak::catalogueKey(), .revision = { 7 }, .content = catalogue() },
+        { .key = soak::hostKey({ 1 }), .revision = { 8 }, .content = upstream() },
+        { .key = soak::hostKey({ 2 }), .revision = { 9 }, .content = RemovedRecord {} }
+    };
     if (!packed) {
         message.changes.items = items;
     }
@@ -118,7 +120,8 @@
         + storeItem(soak::hostKey(upstream().id), soak::hostValue(upstream()), 5);
     corpus.write("store", R"({"items":[)" + items + R"(],"has_more":false,"as_of":9})");
     corpus.write("store",
-                 R"({"events":[)" + items + R"(,{"key":"servers/i-1","revision":6,"removed":true}],"as_of":9})");
+                 R"({"events":[)" + items + R"(,{"key":")" + soak::hostKey({ 1 })
+                     + R"(","revision":6,"removed":true}],"as_of":9})");
     corpus.write("store", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
     const auto sealed = sealPeerMessage(
         { .sender = { 1 }, .incarnation = { 2 }, .sequence = 3, .sentAt = {} }, PeerMessage {}, PeerKey {});
