--- a/tests/drivers/asio_runtime_test.cpp
+++ b/tests/drivers/asio_runtime_test.cpp
@@ -74,7 +74,7 @@
     EXPECT_EQ(signals, 2);
 }
 
-// A datagram whose handling fails must not make the VM deaf.
+// A datagram whose handling fails must not stop the VM from receiving later ones.
 TEST_F(AsioRuntimeTest, ReceivesDatagramsAfterAnException)
 {
     const Endpoint any { .address = { 0x7f000001 }, .port = { 0 } };
--- a/tests/programs/directory_calls_test.cpp
+++ b/tests/programs/directory_calls_test.cpp
@@ -115,7 +115,7 @@
     EXPECT_TRUE(directory.holds(DirectoryCall::Kind::Watch));
 }
 
-// Guards against a listing that goes on beside the records of a relay, and whose answer would be read in vain.
+// Guards against a listing that goes on beside the records of a relay, though its answer is no longer needed.
 TEST_F(DirectoryCallsTest, RecordsOfARelayEndTheListing)
 {
     calls.update();
