Review: no process starts with a fraction among the bounds

Cause: durations of the settings are read as whole numbers only, and platform/settings.yaml passes on the bounds as they are, which may be fractions.

--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -100,8 +100,7 @@
     return "vm: \"" + machine.name + "\"\nzone: \"north\"\nendpoints:\n  packet: " + at(machine.ip, ports_.data)
         + "\n  admin: " + at(machine.ip, ports_.ready) + "\n  metrics: " + at(machine.ip, ports_.metrics)
         + "\n  relay: " + at(machine.ip, ports_.control) + "\ndirectory: \"" + text(storeAddress()) + "\"\nrelays: ["
-        + seeds + "]\nlog_level: debug\nchange_bound: 3000ms\nstop_grace: " + std::to_string(graceSeconds)
-        + "s\nlink_mbps: 1000.0\n";
+        + seeds + "]\nlog_level: debug\nchange_bound: 3000ms\nstop_grace: " + grace_ + "s\nlink_mbps: 1000.0\n";
 }
 
 void Fleet::start(unsigned count, unsigned seeds)
@@ -116,10 +115,67 @@
     }
 }
 
+std::string Fleet::settingsPath(const Machine &machine) const
+{
+    return folder_ + "/" + machine.name + ".yaml";
+}
+
+// In one step, so that no process reads a part.
+void Fleet::writeSettings(const Machine &machine) const
+{
+    const std::string path = settingsPath(machine);
+    std::ofstream(path + ".new") << settings(machine);
+    std::filesystem::rename(path + ".new", path);
+}
+
+void Fleet::changeGrace(const std::string &seconds)
+{
+    grace_ = seconds;
+    for (const Machine &machine : machines_) {
+        writeSettings(machine);
+        if (machine.pid > 0) {
+            kill(machine.pid, SIGHUP);
+        }
+    }
+    record_.line("settings change: grace_s = %s; SIGHUP to all machines", seconds.c_str());
+}
+
+void Fleet::killAll(double downTime)
+{
+    record_.line("all processes are killed");
+    for (Machine &machine : machines_) {
+        if (machine.pid > 0) {
+            kill(machine.pid, SIGKILL);
+            waitpid(machine.pid, nullptr, 0);
+            machine.pid = -1;
+        }
+    }
+    loop_.after(downTime, [this] { startAgain(); });
+}
+
+void Fleet::startAgain()
+{
+    constexpr double restartDelay = 0.5;
+    for (Machine &machine : machines_) {
+        int status = 0;
+        if (machine.pid > 0 && waitpid(machine.pid, &status, WNOHANG) == machine.pid) {
+            ++ends_;
+            machine.pid = -1;
+            record_.line("%s ended by itself with status %d",
+                         machine.name.c_str(),
+                         WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+        }
+        if (machine.pid <= 0) {
+            startMachine(machine);
+        }
+    }
+    loop_.after(restartDelay, [this] { startAgain(); });
+}
+
 void Fleet::startMachine(Machine &machine)
 {
-    const std::string path = folder_ + "/" + machine.name + ".yaml";
-    std::ofstream(path) << settings(machine);
+    const std::string path = settingsPath(machine);
+    writeSettings(machine);
     const std::string log = folder_ + "/" + machine.name + ".log";
     machine.pid = fork();
     if (machine.pid == 0) {
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -52,9 +52,17 @@
     void start(unsigned count, unsigned seeds);
     /// Sends SIGTERM, and SIGKILL after the grace time.
     void stop(std::size_t machine);
-    /// Whether the process ended by itself.
+    /// Whether a process ended by itself.
     bool hasCrashed();
 
+    /// Writes all settings files anew with this grace time in seconds, and sends SIGHUP.
+    void changeGrace(const std::string &seconds);
+    /// Kills all processes at once and starts them again @p downTime seconds later. From then on a process that ends is
+    /// started again after a short delay.
+    void killAll(double downTime);
+    /// Processes that ended by themselves since killAll().
+    unsigned ends() const { return ends_; }
+
     std::vector<Machine> &machines() { return machines_; }
     bool allReady() const;
     const std::string &folder() const { return folder_; }
@@ -65,6 +73,9 @@
 
 private:
     void startMachine(Machine &machine);
+    std::string settingsPath(const Machine &machine) const;
+    void writeSettings(const Machine &machine) const;
+    void startAgain();
     void checkReady(std::size_t machine);
     std::string settings(const Machine &machine) const;
 
@@ -74,6 +85,8 @@
     Ports ports_;
     std::string folder_;
     unsigned seeds_ = 0;
+    std::string grace_ = "6";
+    unsigned ends_ = 0;
     std::vector<Machine> machines_;
 };
 
