--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -3,6 +3,7 @@
 #include "core/random.h"
 
 #include <array>
+#include <span>
 
 namespace boragelug::soak
 {
@@ -14,16 +15,41 @@
 constexpr std::array<FaultTarget, 7> targets { FaultTarget::Vm,       FaultTarget::Vm,        FaultTarget::Upstream,
                                                FaultTarget::Store,    FaultTarget::Catalogue, FaultTarget::Network,
                                                FaultTarget::Partition };
+constexpr std::array<FaultTarget, 4> plannedTargets {
+    FaultTarget::PlannedVm, FaultTarget::PlannedVm, FaultTarget::Upstream, FaultTarget::Catalogue
+};
+constexpr std::array<FaultTarget, 3> lateAnswerTargets { FaultTarget::PlannedVm,
+                                                         FaultTarget::PlannedVm,
+                                                         FaultTarget::Answers };
+constexpr std::array<FaultTarget, 4> recordTargets {
+    FaultTarget::PlannedVm, FaultTarget::Lifetime, FaultTarget::Lifetime, FaultTarget::Catalogue
+};
+
+std::span<const FaultTarget> targetsOf(FaultMix mix)
+{
+    switch (mix) {
+    case FaultMix::Unplanned:
+        return targets;
+    case FaultMix::Planned:
+        return plannedTargets;
+    case FaultMix::LateAnswers:
+        return lateAnswerTargets;
+    case FaultMix::Records:
+        return recordTargets;
+    }
+    return targets;
+}
 
 } // namespace
 
-std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length)
+std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length, FaultMix mix)
 {
+    const std::span<const FaultTarget> chosen = targetsOf(mix);
     Random random(seed);
     std::vector<PlannedFault> plan;
     Duration at {};
     while (at < length) {
-        plan.push_back({ .at = at, .target = targets.at(random.below(targets.size())), .seed = random.next() });
+        plan.push_back({ .at = at, .target = chosen[random.below(chosen.size())], .seed = random.next() });
         at += std::chrono::milliseconds(random.below(maxGapMilliseconds));
     }
     return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -15,7 +15,18 @@
     Store,
     Catalogue, ///< An entry is added or removed.
     Network, ///< Packets to the VMs are lost, duplicated and delayed.
-    Partition ///< One VM is cut off in one direction: from callers, or from upstreams.
+    Partition, ///< One VM is cut off in one direction: from callers, or from upstreams.
+    PlannedVm, ///< A VM's process is stopped by SIGTERM and started again, or its settings are reloaded.
+    Lifetime, ///< An upstream starts again under its id, or its record is replaced by a late or foreign one.
+    Answers ///< Some upstreams answer late.
+};
+
+/// Which faults a plan consists of.
+enum class FaultMix : std::uint8_t {
+    Unplanned, ///< Crashes, outages and planned work.
+    Planned, ///< Planned work on VMs, upstreams and the catalogue.
+    LateAnswers, ///< Planned work while upstreams answer late.
+    Records ///< Planned work while upstreams start again under their ids, and odd records are written.
 };
 
 /// One fault of a plan. What exactly happens is drawn from the fault's own seed, so that it doesn't depend on the
@@ -32,6 +43,6 @@
 
 /// The faults of a run whose time with faults has the given @p length, ordered by time. The same arguments give the
 /// same plan on every machine and under every load. Thread-safe.
-std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length);
+std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length, FaultMix mix = FaultMix::Unplanned);
 
 } // namespace boragelug::soak
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -58,6 +58,8 @@
 
     /// Records that a fault affects the VM with number @p vm.
     void recordVmDisturbance(std::size_t vm, TimePoint now) { lastVmDisturbance_[vm] = now; }
+    /// Records that a fault affects the upstream with id @p upstream.
+    void recordUpstreamDisturbance(std::uint64_t upstream, TimePoint now) { lastUpstreamDisturbance_[upstream] = now; }
     /// Records that a fault affects the configuration store.
     void recordStoreDisturbance(TimePoint now) { lastStoreDisturbance_ = now; }
 
@@ -91,6 +93,9 @@
     /// Checks a reset that the load balancer sent to a caller: it must not end an open flow of a running upstream.
     void checkLoadBalancerReset(const FlowEndpoints &flow, TimePoint now);
 
+    /// Checks a reset that @p upstream sent to a caller: the flow must not be open at another running upstream.
+    void checkUpstreamReset(const FlowEndpoints &flow, std::uint64_t upstream, TimePoint now);
+
     /// Records a violation; ignored if @p invariant was already violated.
     void report(const std::string &invariant, const std::string &detail, TimePoint now);
 
@@ -103,9 +108,12 @@
         std::size_t misroutedPackets = 0;
     };
 
+    bool isUpstreamUndisturbed(std::uint64_t upstream, TimePoint now) const;
+
     TimePoint start_;
     Bounds bounds_;
     std::map<std::size_t, TimePoint> lastVmDisturbance_;
+    std::map<std::uint64_t, TimePoint> lastUpstreamDisturbance_;
     TimePoint lastStoreDisturbance_;
     std::map<FlowEndpoints, OpenFlow> flows_;
     std::vector<Violation> violations_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -24,6 +24,9 @@
   -l, --length=SECONDS   time with faults (20)
   -v, --vms=N            VMs (6)
   -w, --network=N        second number of the loopback addresses, 16 to 240 (77)
+  -m, --mix=NAME         which faults: unplanned, planned, late-answers, records (unplanned)
+  -u, --upstreams=N      upstreams (10)
+  -f, --flows=N          flows of each of the 8 callers (12)
   -b, --sabotage=NAME    breaks a stand-in: bytes, withhold, reset, service, deaf; the run has to find it
 
 Exit codes: 0 all promises held, 1 one was broken, 64 wrong usage.
@@ -53,19 +56,34 @@
     return std::nullopt;
 }
 
+/// The mix of faults with this name; std::nullopt if the name is unknown.
+std::optional<FaultMix> parseMix(const std::string &name)
+{
+    const std::vector<std::pair<std::string, FaultMix>> names { { "unplanned", FaultMix::Unplanned },
+                                                                { "planned", FaultMix::Planned },
+                                                                { "late-answers", FaultMix::LateAnswers },
+                                                                { "records", FaultMix::Records } };
+    for (const auto &[known, value] : names) {
+        if (known == name) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
 Options parse(int argc, char **argv)
 {
-    const std::vector<option> longOptions { { "program", required_argument, nullptr, 'p' },
-                                            { "folder", required_argument, nullptr, 'd' },
-                                            { "seed", required_argument, nullptr, 's' },
-                                            { "seeds", required_argument, nullptr, 'n' },
-                                            { "length", required_argument, nullptr, 'l' },
-                                            { "vms", required_argument, nullptr, 'v' },
-                                            { "network", required_argument, nullptr, 'w' },
-                                            { "sabotage", required_argument, nullptr, 'b' },
-                                            { nullptr, 0, nullptr, 0 } };
+    const std::vector<option> longOptions {
+        { "program", required_argument, nullptr, 'p' },   { "folder", required_argument, nullptr, 'd' },
+        { "seed", required_argument, nullptr, 's' },      { "seeds", required_argument, nullptr, 'n' },
+        { "length", required_argument, nullptr, 'l' },    { "vms", required_argument, nullptr, 'v' },
+        { "network", required_argument, nullptr, 'w' },   { "mix", required_argument, nullptr, 'm' },
+        { "upstreams", required_argument, nullptr, 'u' }, { "flows", required_argument, nullptr, 'f' },
+        { "sabotage", required_argument, nullptr, 'b' },  { nullptr, 0, nullptr, 0 }
+    };
     Options options;
-    for (int letter = 0; (letter = getopt_long(argc, argv, "p:d:s:n:l:v:w:b:", longOptions.data(), nullptr)) != -1;) {
+    for (int letter = 0;
+         (letter = getopt_long(argc, argv, "p:d:s:n:l:v:w:m:u:f:b:", longOptions.data(), nullptr)) != -1;) {
         const std::string value = optarg != nullptr ? optarg : "";
         switch (letter) {
         case 'p':
@@ -89,6 +107,16 @@
         case 'w':
             options.network = static_cast<std::uint8_t>(std::stoul(value));
             break;
+        case 'm':
+            options.valid = options.valid && parseMix(value);
+            options.plan.mix = parseMix(value).value_or(FaultMix::Unplanned);
+            break;
+        case 'u':
+            options.plan.upstreams = std::stoull(value);
+            break;
+        case 'f':
+            options.plan.flowsPerCaller = std::stoull(value);
+            break;
         case 'b':
             options.valid = options.valid && parseSabotage(value);
             options.plan.sabotage = parseSabotage(value).value_or(Sabotage::None);
--- a/soak/simulated_caller.cpp
+++ b/soak/simulated_caller.cpp
@@ -16,12 +16,17 @@
 constexpr Duration maxRetransmitInterval = 1600ms;
 constexpr Duration requestTimeout = 2500ms;
 constexpr std::size_t requestBytes = 120;
+// Long pauses end before the idle timeout of flows.
+constexpr Duration minLongPause = 4s;
+constexpr std::uint64_t longPauseSpreadMilliseconds = 4000;
 
 } // namespace
 
-SimulatedCaller::SimulatedCaller(Ipv4Address address, std::uint64_t seed, InvariantChecker &invariants, Send send)
+SimulatedCaller::SimulatedCaller(
+    Ipv4Address address, std::uint64_t seed, double longPauseChance, InvariantChecker &invariants, Send send)
     : address_(address)
     , random_(seed)
+    , longPauseChance_(longPauseChance)
     , invariants_(invariants)
     , send_(std::move(send))
 { }
@@ -141,6 +146,9 @@
     flow.phase = Phase::Idle;
     transmit(port, flow);
     flow.nextRequestAt = now + std::chrono::milliseconds(20 + random_.below(400));
+    if (longPauseChance_ > 0 && random_.chance(longPauseChance_)) {
+        flow.nextRequestAt += minLongPause + std::chrono::milliseconds(random_.below(longPauseSpreadMilliseconds));
+    }
 }
 
 CallerCounts SimulatedCaller::takeCounts()
--- a/soak/simulated_caller.h
+++ b/soak/simulated_caller.h
@@ -27,8 +27,10 @@
 public:
     using Send = std::function<void(std::vector<std::byte>)>;
 
-    /// @p send passes an encoded packet to the fabric.
-    SimulatedCaller(Ipv4Address address, std::uint64_t seed, InvariantChecker &invariants, Send send);
+    /// @p send passes an encoded packet to the fabric. With probability @p longPauseChance, a flow pauses for some
+    /// seconds between two requests.
+    SimulatedCaller(
+        Ipv4Address address, std::uint64_t seed, double longPauseChance, InvariantChecker &invariants, Send send);
 
     /// Opens flows to randomly chosen @p entries until there are @p targetFlows, retransmits unanswered packets and
     /// abandons flows whose timeout expired. Call it at least every 20 ms.
@@ -65,6 +67,7 @@
 
     Ipv4Address address_;
     Random random_;
+    double longPauseChance_;
     InvariantChecker &invariants_;
     Send send_;
     std::uint16_t nextPort_ = 1025;
--- a/soak/simulated_upstream.cpp
+++ b/soak/simulated_upstream.cpp
@@ -3,6 +3,8 @@
 #include "core/hash.h"
 #include "drivers/byte_order.h"
 
+#include <algorithm>
+
 namespace boragelug::soak
 {
 namespace
@@ -10,16 +12,22 @@
 
 constexpr std::size_t idPrefixBytes = 8; // Upstream id, prefixed by the VM.
 constexpr std::uint32_t responseBytes = 200;
+// Retransmissions of upstreams, as the platform's protocol defines them.
+constexpr Duration initialRetransmitInterval = std::chrono::milliseconds(200);
+constexpr Duration maxRetransmitInterval = std::chrono::milliseconds(1600);
+constexpr unsigned maxRetransmissions = 8;
 
 } // namespace
 
 SimulatedUpstream::SimulatedUpstream(asio::io_context &context,
                                      std::uint64_t id,
+                                     Incarnation incarnation,
                                      std::string service,
                                      const Endpoint &address,
                                      Environment environment,
                                      InvariantChecker &invariants)
     : id_(id)
+    , incarnation_(incarnation)
     , service_(std::move(service))
     , address_(address)
     , environment_(std::move(environment))
@@ -70,6 +78,7 @@
     // A flow opens with a packet that acknowledges the SYN-ACK.
     const auto found = flows_.find(ends);
     if (found == flows_.end() || (!found->second.open && packet->acknowledged != found->second.nextSequence)) {
+        invariants_.checkUpstreamReset(ends, id_, now);
         Packet reset = makeResponse(*packet);
         reset.reset = true;
         reset.sequence = packet->acknowledged;
@@ -94,14 +103,33 @@
         return;
     }
     const auto initialSequence = static_cast<std::uint32_t>(combineHash(id_, packet.sequence));
-    flow = { .nextSequence = initialSequence + 1, .expectedSequence = packet.sequence + 1, .open = false };
+    flow = {};
+    flow.nextSequence = initialSequence + 1;
+    flow.expectedSequence = packet.sequence + 1;
+    flow.retransmitAt = environment_.now() + initialRetransmitInterval;
+    flow.retransmitInterval = initialRetransmitInterval * 2;
+    flow.retransmissionsLeft = maxRetransmissions;
     Packet response = makeResponse(packet);
     response.syn = true;
     response.sequence = initialSequence;
     response.acknowledged = flow.expectedSequence;
+    flow.synAck = response;
     send(response);
 }
 
+void SimulatedUpstream::tick()
+{
+    const TimePoint now = environment_.now();
+    for (auto &[ends, flow] : flows_) {
+        if (!flow.open && flow.retransmissionsLeft > 0 && now >= flow.retransmitAt) {
+            --flow.retransmissionsLeft;
+            flow.retransmitAt = now + flow.retransmitInterval;
+            flow.retransmitInterval = std::min(flow.retransmitInterval * 2, Duration(maxRetransmitInterval));
+            send(flow.synAck);
+        }
+    }
+}
+
 void SimulatedUpstream::handleData(const Packet &packet, Flow &flow)
 {
     if (packet.data.empty() && !packet.fin) {
--- a/soak/simulated_upstream.h
+++ b/soak/simulated_upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.h"
 #include "core/time_point.h"
 #include "drivers/udp_socket.h"
 #include "platform/standins/wire.h"
@@ -36,8 +37,10 @@
         std::function<bool(std::size_t vm)> isCutOff;
     };
 
+    /// @p incarnation is the start time that the upstream's record contains.
     SimulatedUpstream(asio::io_context &context,
                       std::uint64_t id,
+                      Incarnation incarnation,
                       std::string service,
                       const Endpoint &address,
                       Environment environment,
@@ -46,9 +49,13 @@
     SimulatedUpstream(const SimulatedUpstream &) = delete;
     SimulatedUpstream &operator=(const SimulatedUpstream &) = delete;
 
+    /// Sends SYN-ACKs that were not acknowledged again. Call it at least every 20 ms.
+    void tick();
+
     void setDraining(TimePoint now) { drainingSince_ = now; }
     bool isDraining() const { return drainingSince_.has_value(); }
     std::uint64_t id() const { return id_; }
+    Incarnation incarnation() const { return incarnation_; }
     const std::string &service() const { return service_; }
     const Endpoint &address() const { return address_; }
 
@@ -58,6 +65,10 @@
         std::uint32_t nextSequence = 0;
         std::uint32_t expectedSequence = 0;
         bool open = false;
+        Packet synAck;
+        TimePoint retransmitAt;
+        Duration retransmitInterval {};
+        unsigned retransmissionsLeft = 0;
     };
 
     void receive(const Endpoint &from, std::span<const std::byte> datagram);
@@ -67,6 +78,7 @@
     void send(const Packet &packet);
 
     std::uint64_t id_;
+    Incarnation incarnation_;
     std::string service_;
     Endpoint address_;
     Environment environment_;
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -14,6 +14,15 @@
 
 constexpr Duration drainDuration = 4s;
 
+/// The value of a host's record in which the field with its start time is missing.
+std::string hostValueWithoutStartTime(const UpstreamRecord &record)
+{
+    std::string value = hostValue(record);
+    const std::string field = "\"born\":" + std::to_string(record.incarnation.value) + ",";
+    value.erase(value.find(field), field.size());
+    return value;
+}
+
 } // namespace
 
 void SoakSimulation::injectVmFault(Random &random)
@@ -61,7 +70,7 @@
             store_->remove(key);
         });
         // The replacement has an address of its own, because the draining upstream still uses the old one.
-        addUpstream(service, upstreamEndpoint(100 + nextUpstreamId_ % 100));
+        addUpstream(service, upstreamEndpoint(plan_.upstreams + 90 + nextUpstreamId_ % 100));
         return;
     }
     recordFault("crash upstream " + std::to_string(upstream.id()));
@@ -140,6 +149,110 @@
     invariants_.recordVmDisturbance(chosen + 1, now() + length);
 }
 
+void SoakSimulation::injectPlannedVmFault(Random &random)
+{
+    // Up to a third of the VMs is stopped at once, as in a rolling restart of a large fleet.
+    const std::size_t wanted = 1 + random.below(std::max<std::size_t>(1, vms_.size() / 3));
+    const bool reload = random.chance(0.25);
+    std::size_t affected = 0;
+    for (std::size_t i = 0; i < wanted; ++i) {
+        Vm &vm = vms_[random.below(vms_.size())];
+        // SIGHUP ends a process that hasn't reached main() yet.
+        if (!vm.process->isRunning() || vm.stoppingSince || (reload && !vm.inRotation)) {
+            continue;
+        }
+        ++affected;
+        if (reload) {
+            vm.process->signal(SIGHUP);
+        } else {
+            vm.stoppingSince = now();
+            vm.process->signal(SIGTERM);
+        }
+    }
+    recordFault((reload ? "reload " : "stop ") + std::to_string(affected) + " VMs");
+}
+
+void SoakSimulation::injectLifetimeFault(Random &random)
+{
+    SimulatedUpstream &upstream = **std::next(upstreams_.begin(), static_cast<long>(random.below(upstreams_.size())));
+    const std::uint64_t id = upstream.id();
+    if (upstream.isDraining()) {
+        return;
+    }
+    const UpstreamRecord current = makeRecord(upstream, upstream.service());
+    const auto restore = [this, id] {
+        if (const SimulatedUpstream *known = findUpstream(id)) {
+            store_->set(hostKey(UpstreamId { id }), hostValue(makeRecord(*known, known->service())));
+        }
+    };
+    const auto beat = std::chrono::milliseconds(200 + random.below(1200));
+    const std::uint64_t kind = random.below(5);
+    if (kind <= 1) {
+        restartUpstream(id, random);
+    } else if (kind == 2) {
+        recordFault("write the record of upstream " + std::to_string(id) + " without its start time");
+        store_->set(hostKey(UpstreamId { id }), hostValueWithoutStartTime(current));
+        runAfter(beat, restore);
+    } else if (kind == 3) {
+        recordFault("write an earlier record of upstream " + std::to_string(id));
+        UpstreamRecord earlier = current;
+        earlier.incarnation =
+            Incarnation { current.incarnation.value - std::min<std::uint64_t>(1, current.incarnation.value) };
+        store_->set(hostKey(UpstreamId { id }), hostValue(earlier));
+        runAfter(beat, restore);
+    } else {
+        const std::uint64_t foreignId = nextUpstreamId_++;
+        recordFault("write a record of an unknown service at the address of upstream " + std::to_string(id));
+        UpstreamRecord foreign = current;
+        foreign.id = UpstreamId { foreignId };
+        foreign.incarnation = Incarnation { nextIncarnation_++ };
+        foreign.service = "unknown";
+        store_->set(hostKey(foreign.id), hostValue(foreign));
+        runAfter(beat, [this, key = hostKey(foreign.id)] { store_->remove(key); });
+    }
+}
+
+// The upstream registers some time after it serves, with its next heartbeat.
+void SoakSimulation::restartUpstream(std::uint64_t id, Random &random)
+{
+    SimulatedUpstream *upstream = findUpstream(id);
+    const std::string service = upstream->service();
+    const Endpoint address = upstream->address();
+    const auto downTime = std::chrono::milliseconds(50 + random.below(1500));
+    const auto registerDelay = std::chrono::milliseconds(random.below(1200));
+    recordFault("restart upstream " + std::to_string(id) + " under its id");
+    std::erase_if(upstreams_, [&](const auto &known) { return known->id() == id; });
+    runAfter(downTime, [this, id, service, address, registerDelay] {
+        const bool taken = std::any_of(
+            upstreams_.begin(), upstreams_.end(), [&](const auto &other) { return other->address() == address; });
+        if (taken) {
+            store_->remove(hostKey(UpstreamId { id }));
+            return;
+        }
+        startUpstream(id, service, address);
+        invariants_.recordUpstreamDisturbance(id, now());
+        runAfter(registerDelay, [this, id] {
+            if (const SimulatedUpstream *known = findUpstream(id)) {
+                store_->set(hostKey(UpstreamId { id }), hostValue(makeRecord(*known, known->service())));
+            }
+        });
+    });
+}
+
+void SoakSimulation::injectLateAnswers(Random &random)
+{
+    const Duration delay = std::chrono::milliseconds(150 + random.below(700));
+    const Duration length = std::chrono::milliseconds(300 + random.below(1500));
+    const std::size_t wanted = 1 + random.below(upstreams_.size());
+    for (const auto &upstream : upstreams_) {
+        if (random.below(upstreams_.size()) < wanted) {
+            lateAnswers_[upstream->id()] = { now() + length, delay };
+        }
+    }
+    recordFault("upstreams answer "
+                + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()) + " ms late");
+}
+
 void SoakSimulation::inject(const PlannedFault &fault)
 {
     Random random(fault.seed);
@@ -162,6 +275,15 @@
     case FaultTarget::Partition:
         injectPartition(random);
         return;
+    case FaultTarget::PlannedVm:
+        injectPlannedVmFault(random);
+        return;
+    case FaultTarget::Lifetime:
+        injectLifetimeFault(random);
+        return;
+    case FaultTarget::Answers:
+        injectLateAnswers(random);
+        return;
     }
 }
 
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -31,6 +31,7 @@
 constexpr unsigned failedChecksToLeaveRotation = 2;
 constexpr Duration restartDelay = 200ms;
 constexpr Duration settleTime = 3s; // Without faults: before the first one, and while the recovery is measured.
+constexpr double longPauseChance = 0.1;
 constexpr Duration finalOutage = 1s; // From the kill of all VMs at the end until their restart.
 
 } // namespace
@@ -42,7 +43,7 @@
     , invariants_(now())
     , start_(now())
     , fabric_(runtime_.context(), makeEndpoint(storeGroup, 2, 0))
-    , faults_(planFaults(plan_.seed, plan_.length))
+    , faults_(planFaults(plan_.seed, plan_.length, plan_.mix))
 {
     store_ = std::make_unique<StoreStandin>(
         runtime_.context(), toTcpEndpoint(makeEndpoint(storeGroup, 1, storePort)), plan_.seed);
@@ -67,6 +68,7 @@
         callerSockets_.push_back(std::make_unique<UdpSocket>(runtime_.context(), address));
         callers_.emplace_back(address.address,
                               combineHash(plan_.seed, i),
+                              plan_.mix == FaultMix::Unplanned ? 0 : longPauseChance,
                               invariants_,
                               [this, i](std::vector<std::byte> packet) { sendThroughFabric(i, std::move(packet)); });
         callerSockets_.back()->start([this, i](const Endpoint &, std::span<const std::byte> bytes) {
@@ -109,13 +111,35 @@
 }
 
 void SoakSimulation::addUpstream(const std::string &service, const Endpoint &address)
+{
+    const SimulatedUpstream &upstream = startUpstream(nextUpstreamId_++, service, address);
+    store_->set(hostKey(UpstreamId { upstream.id() }), hostValue(makeRecord(upstream, service)));
+}
+
+SimulatedUpstream *SoakSimulation::findUpstream(std::uint64_t id)
+{
+    const auto found =
+        std::find_if(upstreams_.begin(), upstreams_.end(), [&](const auto &known) { return known->id() == id; });
+    return found != upstreams_.end() ? found->get() : nullptr;
+}
+
+void SoakSimulation::sendToCaller(std::uint64_t upstream, const Endpoint &caller, std::vector<std::byte> bytes)
+{
+    const Endpoint to { .address = caller.address, .port = packetPort };
+    const auto late = lateAnswers_.find(upstream);
+    if (late == lateAnswers_.end() || now() >= late->second.first) {
+        fabric_.send(to, bytes);
+        return;
+    }
+    runAfter(late->second.second, [this, to, bytes = std::move(bytes)] { fabric_.send(to, bytes); });
+}
+
+SimulatedUpstream &SoakSimulation::startUpstream(std::uint64_t id, const std::string &service, const Endpoint &address)
 {
     const SimulatedUpstream::Environment environment {
         .now = [this] { return now(); },
-        .sendToCaller =
-            [this](const Endpoint &caller, std::vector<std::byte> bytes) {
-                fabric_.send({ .address = caller.address, .port = packetPort }, bytes);
-            },
+        .sendToCaller = [this, id](const Endpoint &caller,
+                                   std::vector<std::byte> bytes) { sendToCaller(id, caller, std::move(bytes)); },
         .findEntry = [this](const Endpoint &entry) -> std::pair<std::string, std::optional<TimePoint>> {
             for (const Entry &known : entries_) {
                 if (known.address == entry) {
@@ -127,17 +151,22 @@
         .vmNumber = [](const Endpoint &vm) { return vm.address.value & 0xffU; },
         .isCutOff = [this](std::size_t vm) { return now() < vms_.at(vm - 1).cutFromUpstreamsUntil; },
     };
-    const bool mislabeled = plan_.sabotage == Sabotage::Service && nextUpstreamId_ == 1;
-    upstreams_.push_back(std::make_unique<SimulatedUpstream>(
-        runtime_.context(), nextUpstreamId_++, mislabeled ? "inspection" : service, address, environment, invariants_));
-    store_->set(hostKey(UpstreamId { upstreams_.back()->id() }), hostValue(makeRecord(*upstreams_.back(), service)));
+    const bool mislabeled = plan_.sabotage == Sabotage::Service && id == 1;
+    upstreams_.push_back(std::make_unique<SimulatedUpstream>(runtime_.context(),
+                                                             id,
+                                                             Incarnation { nextIncarnation_++ },
+                                                             mislabeled ? "inspection" : service,
+                                                             address,
+                                                             environment,
+                                                             invariants_));
+    return *upstreams_.back();
 }
 
 UpstreamRecord SoakSimulation::makeRecord(const SimulatedUpstream &upstream, const std::string &service) const
 {
     UpstreamRecord record;
     record.id = UpstreamId { upstream.id() };
-    record.incarnation = Incarnation { upstream.id() };
+    record.incarnation = upstream.incarnation();
     record.service = service;
     record.zone = "kgd-north";
     record.address = upstream.address();
@@ -317,6 +346,9 @@
     superviseVms();
     checkReadiness();
     injectFaults();
+    for (const auto &upstream : upstreams_) {
+        upstream->tick();
+    }
     std::vector<Endpoint> addresses;
     for (const Entry &entry : entries_) {
         addresses.push_back(entry.address); // Removed ones too: callers keep opening flows to them.
--- a/soak/soak_simulation.h
+++ b/soak/soak_simulation.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,7 @@
     std::string program;
     std::string folder;
     Sabotage sabotage = Sabotage::None;
+    FaultMix mix = FaultMix::Unplanned;
 };
 
 /// Violations, injected faults and totals of one run.
@@ -111,6 +113,11 @@
     Endpoint entryEndpoint(std::size_t number) const;
     void writeSettings(const Vm &vm) const;
     void addUpstream(const std::string &service, const Endpoint &address);
+    /// Starts an upstream, which has no record yet.
+    SimulatedUpstream &startUpstream(std::uint64_t id, const std::string &service, const Endpoint &address);
+    /// Sends a packet of the upstream with id @p upstream to a caller.
+    void sendToCaller(std::uint64_t upstream, const Endpoint &caller, std::vector<std::byte> bytes);
+    SimulatedUpstream *findUpstream(std::uint64_t id);
     UpstreamRecord makeRecord(const SimulatedUpstream &upstream, const std::string &service) const;
     void drainUpstream(SimulatedUpstream &upstream);
     void writeCatalogue();
@@ -128,6 +135,10 @@
     void changeCatalogue(Random &random);
     void injectNetworkFault(Random &random);
     void injectPartition(Random &random);
+    void injectPlannedVmFault(Random &random);
+    void injectLifetimeFault(Random &random);
+    void restartUpstream(std::uint64_t id, Random &random);
+    void injectLateAnswers(Random &random);
     void runAfter(Duration delay, std::function<void()> action);
     void recordFault(const std::string &what);
     void runFor(Duration length);
@@ -149,6 +160,9 @@
     std::vector<SimulatedCaller> callers_;
     std::vector<Entry> entries_;
     std::uint64_t nextUpstreamId_ = 1;
+    std::uint64_t nextIncarnation_ = 1;
+    /// Upstreams that answer late until the time given.
+    std::map<std::uint64_t, std::pair<TimePoint, Duration>> lateAnswers_;
     std::uint64_t catalogueVersion_ = 0;
     std::uint64_t packetCount_ = 0;
     /// Packets per thousand that the fabric drops, and also that it duplicates.
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -42,5 +42,16 @@
     EXPECT_EQ(targets.size(), 6U);
 }
 
+// Planned work must not be mixed with faults that excuse a broken flow.
+TEST(FaultPlan, KeepsPlannedWorkApartFromOtherFaults)
+{
+    std::set<FaultTarget> targets;
+    for (const PlannedFault &fault : planFaults(1, 60s, FaultMix::Planned)) {
+        targets.insert(fault.target);
+    }
+    const std::set<FaultTarget> expected { FaultTarget::Upstream, FaultTarget::Catalogue, FaultTarget::PlannedVm };
+    EXPECT_EQ(targets, expected);
+}
+
 } // namespace
 } // namespace boragelug::soak
