Log moved flows, tags that differ from the flow, and the evidence of a reset

Cause: the hypotheses of the incident of reset flows could not be told apart by logs. A SYN that goes to a second upstream was a debug line, a caller with the tag of another upstream left no line, and `reason` stood behind fields at which the users' record was cut. Change: events 309 flow_moved and 310 flow_tag_differs, the metric boragelug_flow_tag_mismatches_total, and in resets because of an ended upstream the time since it was unlisted and made progress, and whether this VM saw the flow open. The reason is the first field of refusals. No decision on a packet changes.

--- a/core/event_severity.cpp
+++ b/core/event_severity.cpp
@@ -36,6 +36,7 @@
     case EventNumber::FlowEvicted:
     case EventNumber::PacketDropped:
     case EventNumber::FlowUnanswered:
+    case EventNumber::FlowTagDiffers:
     case EventNumber::RequestUnknown:
     case EventNumber::UpstreamEjected:
     case EventNumber::UpstreamLapsed:
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -45,11 +45,25 @@
     return EventNumber::RecordUnreadable;
 }
 
+EventNumber forwardEvent(const ForwardPacket &forward)
+{
+    if (forward.placed) {
+        return forward.reason == PlacementReason::OtherAfterNoAnswer ? EventNumber::FlowMoved : EventNumber::FlowPlaced;
+    }
+    return forward.tagUpstream != UpstreamId {} ? EventNumber::FlowTagDiffers : EventNumber::FlowUnanswered;
+}
+
 void addForwardFields(const ForwardPacket &forward, NodeEvent &event)
 {
-    event.number = forward.placed ? EventNumber::FlowPlaced : EventNumber::FlowUnanswered;
+    event.number = forwardEvent(forward);
     event.fields.emplace_back("upstream", causeText(forward.upstream.value));
     event.fields.emplace_back("address", toString(forward.address));
+    if (forward.tagUpstream != UpstreamId {}) {
+        event.fields.emplace_back("tag_upstream", causeText(forward.tagUpstream.value));
+    }
+    if (forward.movedFrom != UpstreamId {}) {
+        event.fields.emplace_back("from", causeText(forward.movedFrom.value));
+    }
     if (forward.placed) {
         event.fields.emplace_back("reason", reasonName(forward.reason));
         event.fields.emplace_back("cost", std::to_string(forward.cost));
@@ -57,11 +71,37 @@
     }
 }
 
+std::optional<TaggedRefusal> refusalOf(const TaggedDecision &decision)
+{
+    if (const auto *reset = std::get_if<ResetFlow>(&decision)) {
+        return reset->reason;
+    }
+    const auto *drop = std::get_if<DropPacket>(&decision);
+    return drop != nullptr ? std::optional(drop->reason) : std::nullopt;
+}
+
+void addResetFields(const ResetFlow &reset, NodeEvent &event)
+{
+    if (reset.upstream != UpstreamId {}) {
+        event.fields.emplace_back("upstream", causeText(reset.upstream.value));
+    }
+    if (reset.reason == TaggedRefusal::EndedUpstream) {
+        event.fields.emplace_back("unlisted_ms", milliseconds(reset.sinceUnlisted));
+        event.fields.emplace_back("since_progress_ms", milliseconds(reset.sinceProgress));
+        event.fields.emplace_back("opened_here", reset.openedHere ? "yes" : "no");
+    }
+}
+
 /// Event with the number and fields that describe @p decision.
 NodeEvent decisionEvent(const FlowPacket &packet, const TaggedDecision &decision)
 {
     NodeEvent event;
-    event.fields = { { "caller", toString(packet.caller) }, { "entry", toString(packet.entry) } };
+    // The reason comes first, so that it remains in lines that are cut.
+    if (const auto reason = refusalOf(decision)) {
+        event.fields.emplace_back("reason", taggedRefusalName(*reason));
+    }
+    event.fields.emplace_back("caller", toString(packet.caller));
+    event.fields.emplace_back("entry", toString(packet.entry));
     if (const auto *forward = std::get_if<ForwardPacket>(&decision)) {
         addForwardFields(*forward, event);
     } else if (const auto *queued = std::get_if<QueuePacket>(&decision)) {
@@ -71,13 +111,9 @@
         event.fields.emplace_back("mean_share_of_objective", std::to_string(queued->meanLatencyRatio));
     } else if (const auto *reset = std::get_if<ResetFlow>(&decision)) {
         event.number = EventNumber::FlowRefused;
-        event.fields.emplace_back("reason", taggedRefusalName(reset->reason));
-        if (reset->upstream != UpstreamId {}) {
-            event.fields.emplace_back("upstream", causeText(reset->upstream.value));
-        }
+        addResetFields(*reset, event);
     } else {
         event.number = EventNumber::PacketDropped;
-        event.fields.emplace_back("reason", taggedRefusalName(std::get<DropPacket>(decision).reason));
     }
     return event;
 }
@@ -260,7 +296,8 @@
 {
     const auto *forward = std::get_if<ForwardPacket>(&decision);
     const auto *queued = std::get_if<QueuePacket>(&decision);
-    const bool onOpenFlow = forward != nullptr && !forward->placed && !forward->unanswered;
+    const bool onOpenFlow =
+        forward != nullptr && !forward->placed && !forward->unanswered && forward->tagUpstream == UpstreamId {};
     // Further packets of a queued request and ordinary packets of an open flow get no event: nothing was decided.
     if ((onOpenFlow && !waited) || (queued != nullptr && queued->limit == 0)) {
         return;
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -129,7 +129,8 @@
         explanation.catalogueVersion = node_.view()->version;
         explanation.viewGeneration = node_.view()->revision.value;
     }
-    explanation.outcome = explanation.events.back().number == EventNumber::FlowPlaced ? "placed" : "refused";
+    const EventNumber last = explanation.events.back().number;
+    explanation.outcome = last == EventNumber::FlowPlaced || last == EventNumber::FlowMoved ? "placed" : "refused";
     return explanation;
 }
 
@@ -142,6 +143,7 @@
     totals_.add("boragelug_flows_placed_remote_total", counters.placedRemote);
     totals_.add("boragelug_flows_moved_total", counters.moved);
     totals_.add("boragelug_upstream_misses_total", counters.unansweredPackets);
+    totals_.add("boragelug_flow_tag_mismatches_total", counters.tagMismatches);
     for (std::size_t i = 0; i < taggedRefusalCount; ++i) {
         const std::string reason(taggedRefusalName(static_cast<TaggedRefusal>(i)));
         totals_.add("boragelug_flows_refused_total", counters.resets.at(i), { { "reason", reason } });
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -80,6 +80,7 @@
     }
     if (flow.phase == FlowPhase::Opening) {
         setPhase(flow, FlowPhase::Open);
+        flow.openedHere = true;
         flow.acknowledged = packet.acknowledged;
         recordProgress(upstream->health, now);
     }
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -205,15 +205,42 @@
     const bool unanswered = track(packet, *entry, upstream, now);
     const auto reset = options.viewIsFresh ? resetReason(packet, *entry, *upstream, unanswered, now) : std::nullopt;
     if (reset) {
-        discardFlow(packet);
-        ++counters_.resets.at(static_cast<std::size_t>(*reset));
-        return ResetFlow { .reason = *reset, .upstream = upstream->status.upstream.id };
+        return makeReset(*reset, packet, *upstream, now);
     }
     ++counters_.forwarded;
     return ForwardPacket { .upstream = upstream->status.upstream.id,
                            .address = upstream->status.upstream.tunnelEndpoint,
                            .tag = upstream->tag,
-                           .unanswered = unanswered };
+                           .unanswered = unanswered,
+                           .tagUpstream = mismatchedTag(packet, *entry, *upstream) };
+}
+
+ResetFlow
+TaggedRouter::makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now)
+{
+    ResetFlow reset { .reason = reason, .upstream = upstream.status.upstream.id };
+    if (reason == TaggedRefusal::EndedUpstream) {
+        const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+        reset.sinceUnlisted = now - upstream.status.vanishedAt;
+        reset.sinceProgress = now - upstream.health.lastProgressAt;
+        reset.openedHere = flow != flows_.end() && flow->second.openedHere;
+    }
+    discardFlow(packet);
+    ++counters_.resets.at(static_cast<std::size_t>(reason));
+    return reset;
+}
+
+UpstreamId
+TaggedRouter::mismatchedTag(const FlowPacket &packet, const DirectoryEntry &entry, const TrackedUpstream &upstream)
+{
+    const auto tagged = findTagged(packet.tag, entry);
+    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+    if (!tagged || tagged.get() == &upstream || flow == flows_.end() || flow->second.tagMismatchReported) {
+        return {};
+    }
+    flow->second.tagMismatchReported = true;
+    ++counters_.tagMismatches;
+    return tagged->status.upstream.id;
 }
 
 TaggedDecision TaggedRouter::routeSyn(const FlowPacket &packet,
@@ -296,6 +323,7 @@
     const FlowId id { packet.caller, packet.entry };
     const auto found = flows_.find(id);
     const bool retried = reason == PlacementReason::OtherAfterNoAnswer;
+    const UpstreamId movedFrom = retried ? found->second.upstream->status.upstream.id : UpstreamId {};
     const auto upstreams = selectUpstreams(packet, entry, retried ? &found->second : nullptr, now);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(upstreams.size());
@@ -331,6 +359,7 @@
                            .tag = upstream->tag,
                            .placed = true,
                            .reason = reason,
+                           .movedFrom = movedFrom,
                            .cost = placementCost(candidates[*choice], settings_.placement),
                            .compared = candidates.size() };
 }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -83,6 +83,11 @@
     /// The packet is the SYN of a flow or a copy of it.
     bool placed = false;
     PlacementReason reason = PlacementReason::First;
+    /// The upstream that did not answer an earlier copy of the SYN; 0 if there is none.
+    UpstreamId movedFrom {};
+    /// The upstream that the packet's tag names, if the flow is open at another one; 0 otherwise and if that was
+    /// reported for the flow before.
+    UpstreamId tagUpstream {};
     /// Cost of the chosen upstream, and how many upstreams were compared; set only if placed and not Repeated.
     double cost = 0;
     std::size_t compared = 0;
@@ -94,6 +99,11 @@
     TaggedRefusal reason = TaggedRefusal::UnknownEntry;
     /// The upstream of the flow so far; 0 if it had none.
     UpstreamId upstream;
+    /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, and
+    /// whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream only.
+    Duration sinceUnlisted {};
+    Duration sinceProgress {};
+    bool openedHere = false;
 };
 
 /// Discards the packet without a response, because the view of this VM may be incomplete or outdated, or because the
@@ -137,6 +147,8 @@
     std::uint64_t placedRemote = 0;
     std::uint64_t retransmittedData = 0;
     std::uint64_t unansweredPackets = 0;
+    /// Flows whose callers used the tag of another upstream than the one at which the flow is open.
+    std::uint64_t tagMismatches = 0;
     std::array<std::uint64_t, taggedRefusalCount> resets {};
     std::array<std::uint64_t, taggedRefusalCount> dropped {};
 };
@@ -248,6 +260,9 @@
         bool busy = false;
         /// The packet in flight was already counted as unanswered.
         bool unansweredCounted = false;
+        /// This VM placed the flow and forwarded the packet that opened it.
+        bool openedHere = false;
+        bool tagMismatchReported = false;
         /// The service at whose concurrency limit the request in progress counts.
         ServiceId service;
         ServiceAdmission::Ticket ticket = 0;
@@ -307,6 +322,9 @@
                                              TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
+    ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
+    /// The upstream that the packet's tag names, if it isn't @p upstream and wasn't reported for the flow before.
+    UpstreamId mismatchedTag(const FlowPacket &packet, const DirectoryEntry &entry, const TrackedUpstream &upstream);
     void beginRequest(Flow &flow, TimePoint now);
     /// Ends the request in progress; @p answered says whether an answer arrived.
     void endRequest(Flow &flow, bool answered, TimePoint now);
