Route the tags of all incarnations of an upstream to the upstream

Cause: the SYN was placed by the old record, so that the flow has the old incarnation's tag. With the new record, that incarnation counted as gone, and its flows as those of an ended upstream. The host itself resets flows that it doesn't hold, so that a restart under the same id needs no reset by the system. Change: upstreams are tracked by id; the tags of all incarnations lead to the current one, and packets leave with its tag. A record at the address of an upstream no longer ends it if one of its flows progresses afterwards.

--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -40,6 +40,22 @@
     return entry.services.front().first;
 }
 
+/// The current incarnation of each upstream: the listed one, and of several the latest.
+std::map<UpstreamId, const DirectoryUpstream *> currentIncarnations(const DirectoryView &view)
+{
+    const auto order = [](const DirectoryUpstream &status) {
+        return std::pair(status.listing != Listing::Gone, status.upstream.incarnation);
+    };
+    std::map<UpstreamId, const DirectoryUpstream *> current;
+    for (const DirectoryUpstream &status : view.upstreams) {
+        const DirectoryUpstream *&known = current[status.upstream.id];
+        if (known == nullptr || order(*known) < order(status)) {
+            known = &status;
+        }
+    }
+    return current;
+}
+
 bool mayTakeFlows(const DirectoryUpstream &status)
 {
     return status.listing != Listing::Gone && status.upstream.state == UpstreamState::Active;
@@ -55,24 +71,33 @@
 
 void TaggedRouter::applyView(std::shared_ptr<const DirectoryView> view, TimePoint now)
 {
-    static_cast<void>(now);
     view_ = std::move(view);
-    std::map<UpstreamKey, std::shared_ptr<TrackedUpstream>> upstreams;
+    std::map<UpstreamId, std::shared_ptr<TrackedUpstream>> upstreams;
     placeable_.clear();
     byTag_.clear();
-    for (const DirectoryUpstream &status : view_->upstreams) {
-        const UpstreamKey key { status.upstream.id.value, status.upstream.incarnation.value };
-        const auto existing = upstreams_.find(key);
+    for (const auto &[id, status] : currentIncarnations(*view_)) {
+        const auto existing = upstreams_.find(id);
         auto upstream = existing != upstreams_.end() ? existing->second : std::make_shared<TrackedUpstream>();
-        upstream->status = status;
-        upstream->tag = flowTagOf(status.upstream.id, status.upstream.incarnation);
-        byTag_[upstream->tag].push_back(upstream);
-        upstreams.emplace(key, std::move(upstream));
+        if (upstream->status.upstream.incarnation != status->upstream.incarnation) {
+            upstream->health = {};
+        }
+        upstream->status = *status;
+        upstream->tag = flowTagOf(id, status->upstream.incarnation);
+        upstreams.emplace(id, std::move(upstream));
+    }
+    // Flows may have opened at a restarted upstream while VMs had the record of its earlier incarnation. The upstream
+    // itself resets those that it doesn't hold.
+    for (const DirectoryUpstream &status : view_->upstreams) {
+        const auto &upstream = upstreams.at(status.upstream.id);
+        auto &sameTag = byTag_[flowTagOf(status.upstream.id, status.upstream.incarnation)];
+        if (std::find(sameTag.begin(), sameTag.end(), upstream) == sameTag.end()) {
+            sameTag.push_back(upstream);
+        }
     }
     upstreams_ = std::move(upstreams);
-    markReusedAddresses();
+    markReusedAddresses(now);
     for (const auto &[key, upstream] : upstreams_) {
-        if (mayTakeFlows(upstream->status) && !upstream->addressReused) {
+        if (mayTakeFlows(upstream->status) && !hasLostAddress(*upstream)) {
             placeable_[upstream->status.upstream.service].push_back(upstream);
         }
     }
@@ -99,29 +124,35 @@
 
 // The record of an upstream that crashed stays listed for some seconds, and its address answers active checks once
 // another upstream has it.
-void TaggedRouter::markReusedAddresses()
+void TaggedRouter::markReusedAddresses(TimePoint now)
 {
     // Upstreams of the first listing have no time; their incarnations are start times.
     const auto order = [](const DirectoryUpstream &status) {
         return std::pair(status.knownSince, status.upstream.incarnation);
     };
     absl::flat_hash_map<Endpoint, std::shared_ptr<TrackedUpstream>> latest;
-    for (const auto &[key, upstream] : upstreams_) {
+    for (const auto &[id, upstream] : upstreams_) {
         auto &current = latest[upstream->status.upstream.tunnelEndpoint];
         if (!current || order(current->status) < order(upstream->status)) {
             current = upstream;
         }
     }
-    for (const auto &[key, upstream] : upstreams_) {
-        const auto &current = latest.at(upstream->status.upstream.tunnelEndpoint);
-        const bool isReused = current != upstream && current->status.upstream.id != upstream->status.upstream.id;
-        if (isReused && !upstream->addressReused) {
+    for (const auto &[id, upstream] : upstreams_) {
+        if (latest.at(upstream->status.upstream.tunnelEndpoint) == upstream) {
+            upstream->addressReusedSince.reset();
+        } else if (!upstream->addressReusedSince) {
+            upstream->addressReusedSince = now;
             silentUpstreams_.push_back(upstream);
         }
-        upstream->addressReused = isReused;
     }
 }
 
+// Progress after another upstream was listed at the address shows that the record of that one is wrong.
+bool TaggedRouter::hasLostAddress(const TrackedUpstream &upstream)
+{
+    return upstream.addressReusedSince && upstream.health.lastProgressAt <= *upstream.addressReusedSince;
+}
+
 const DirectoryEntry *TaggedRouter::findEntry(const Endpoint &address) const
 {
     const auto &entries = *view_->entries;
@@ -303,12 +334,13 @@
 
 bool TaggedRouter::isInView(const TrackedUpstream &upstream) const
 {
-    return upstreams_.contains({ upstream.status.upstream.id.value, upstream.status.upstream.incarnation.value });
+    const auto found = upstreams_.find(upstream.status.upstream.id);
+    return found != upstreams_.end() && found->second.get() == &upstream;
 }
 
 bool TaggedRouter::hasStoppedAnswering(const TrackedUpstream &upstream, TimePoint now) const
 {
-    return !isInView(upstream) || upstream.status.listing == Listing::Gone || upstream.addressReused
+    return !isInView(upstream) || upstream.status.listing == Listing::Gone || hasLostAddress(upstream)
         || isSilent(upstream.health, settings_.health, now);
 }
 
@@ -416,7 +448,7 @@
     const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
     const Duration timeout = unanswered ? settings_.unlistedTimeoutUnanswered : settings_.unlistedTimeout;
     const bool isGone = upstream.status.listing == Listing::Gone && now - noProgressSince >= timeout;
-    if (isGone || upstream.addressReused) {
+    if (isGone || hasLostAddress(upstream)) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -457,8 +489,8 @@
 
 void TaggedRouter::recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now)
 {
-    const auto found = upstreams_.find({ check.upstream.value, check.incarnation.value });
-    if (found == upstreams_.end()) {
+    const auto found = upstreams_.find(check.upstream);
+    if (found == upstreams_.end() || found->second->status.upstream.incarnation != check.incarnation) {
         return;
     }
     boragelug::recordCheckResult(found->second->health, answered, earlyChecks_, now);
@@ -472,7 +504,7 @@
     std::vector<SilentFlow> silent;
     std::set<const TrackedUpstream *> confirmed;
     std::erase_if(silentUpstreams_, [&](const auto &upstream) {
-        if (upstream->addressReused || isConfirmedSilent(*upstream, now)) {
+        if (hasLostAddress(*upstream) || isConfirmedSilent(*upstream, now)) {
             confirmed.insert(upstream.get());
         }
         return confirmed.contains(upstream.get()) || !isSilent(upstream->health, settings_.health, now);
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -254,8 +254,8 @@
         DirectoryUpstream status;
         FlowTag tag;
         PassiveHealth health;
-        /// Another upstream, which was listed later, has the address: this one has ended.
-        bool addressReused = false;
+        /// Since when another upstream, which was listed later, has the address.
+        std::optional<TimePoint> addressReusedSince;
         std::uint32_t openFlows = 0;
         std::uint32_t busyFlows = 0;
         bool reportedEjected = false;
@@ -287,7 +287,6 @@
         std::array<UpstreamId, 2> tried {};
     };
 
-    using UpstreamKey = std::pair<std::uint64_t, std::uint64_t>;
     using FlowId = std::pair<Endpoint, Endpoint>;
 
     /// A flow whose SYN was placed.
@@ -298,7 +297,9 @@
         TimePoint placedAt;
     };
 
-    void markReusedAddresses();
+    void markReusedAddresses(TimePoint now);
+    /// Whether the upstream has ended, as another one has its address.
+    static bool hasLostAddress(const TrackedUpstream &upstream);
     void checkStalledRequest(const Endpoint &address, Flow &flow, TimePoint now);
     /// Requests checks of the upstreams that leave the SYN of a flow unanswered.
     void checkOpenings(TimePoint now);
@@ -365,7 +366,7 @@
     TaggedRouterSettings settings_;
     Random random_;
     std::shared_ptr<const DirectoryView> view_;
-    std::map<UpstreamKey, std::shared_ptr<TrackedUpstream>> upstreams_;
+    std::map<UpstreamId, std::shared_ptr<TrackedUpstream>> upstreams_;
     /// Upstreams that may take new flows, by service; those of this VM's zone first.
     absl::flat_hash_map<ServiceId, std::vector<std::shared_ptr<TrackedUpstream>>> placeable_;
     /// All upstreams by tag, the earliest incarnation first.
