Keep the record of a listed upstream despite records of other writers

Cause: each write counted as the state of the host. A record without a start time replaced the incarnation by one made up from the revision, and the true one stayed in the view as gone for 60 s after it was back. A record of any service at the address of a host counted as its successor. Change: a write to the key of a listed upstream that can't be its own (unreadable, an unknown service, an earlier start) is reported, and the last valid record stays in effect for up to 4 s; then the upstream counts as removed, or the earlier start is taken. Records of services that no entry uses are not published.

--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -120,10 +120,45 @@
     } else if (std::holds_alternative<RemovedRecord>(item.content)) {
         markUnlisted(item.key, item.revision, now, changes);
     } else {
-        changes.push_back(
-            makeChange(MirrorChange::Kind::RecordUnreadable, item, std::get<UnreadableRecord>(item.content).reason));
-        markUnlisted(item.key, item.revision, now, changes);
+        const std::string &reason = std::get<UnreadableRecord>(item.content).reason;
+        const auto known = upstreams_.find(item.key);
+        if (known != upstreams_.end() && known->second.status.listing != Listing::Gone) {
+            dispute(known->second, item, reason, now, changes);
+        } else {
+            changes.push_back(makeChange(MirrorChange::Kind::RecordUnreadable, item, reason));
+        }
+    }
+}
+
+void DirectoryMirror::dispute(KnownUpstream &known,
+                              const DirectoryItem &item,
+                              const std::string &reason,
+                              TimePoint now,
+                              std::vector<MirrorChange> &changes)
+{
+    if (item.revision <= known.revision || (known.disputed && item.revision <= known.disputed->revision)) {
+        return;
+    }
+    known.disputedSince = known.disputed ? known.disputedSince : now;
+    known.disputed = item;
+    changes.push_back(makeChange(MirrorChange::Kind::RecordUnreadable, item, reason));
+}
+
+std::string DirectoryMirror::reasonToDispute(const KnownUpstream &known, const UpstreamRecord &record) const
+{
+    if (known.status.listing == Listing::Gone) {
+        return {};
     }
+    if (record.incarnation < known.record.incarnation) {
+        return "the record is of an earlier start of the upstream";
+    }
+    const bool isForeign = record.service != known.record.service && !isInCatalogue(record.service);
+    return isForeign ? "no entry of the catalogue uses the record's service" : "";
+}
+
+bool DirectoryMirror::isInCatalogue(const std::string &service) const
+{
+    return !hasCatalogue() || catalogueServices_.contains(service);
 }
 
 void DirectoryMirror::recordCatalogue(const DirectoryItem &item,
@@ -141,6 +176,12 @@
     case CatalogueMirror::Adoption::Adopted:
         publishedEntries_.reset();
         published_.reset();
+        catalogueServices_.clear();
+        for (const EntryRecord &entry : catalogue_.entries()) {
+            for (const ServiceShare &share : entry.services) {
+                catalogueServices_.insert(share.service);
+            }
+        }
         changes.push_back(makeChange(MirrorChange::Kind::CatalogueAdopted, item, std::to_string(version.value)));
         return;
     }
@@ -156,9 +197,25 @@
         return;
     }
     const auto found = upstreams_.find(item.key);
-    if (found != upstreams_.end() && item.revision <= found->second.revision) {
-        return;
+    if (found != upstreams_.end()) {
+        KnownUpstream &known = found->second;
+        if (item.revision <= known.revision || (known.disputed && item.revision <= known.disputed->revision)) {
+            return;
+        }
+        if (const std::string reason = reasonToDispute(known, record); !reason.empty()) {
+            dispute(known, item, reason, now, changes);
+            return;
+        }
     }
+    adopt(item, record, now, changes);
+}
+
+void DirectoryMirror::adopt(const DirectoryItem &item,
+                            const UpstreamRecord &record,
+                            TimePoint now,
+                            std::vector<MirrorChange> &changes)
+{
+    const auto found = upstreams_.find(item.key);
     DirectoryUpstream status;
     status.upstream = { .id = record.id,
                         .incarnation = record.incarnation,
@@ -177,7 +234,12 @@
     } else if (found != upstreams_.end()) {
         retireIncarnation(found->second, now);
     }
-    upstreams_[item.key] = { .revision = item.revision, .status = status, .record = record };
+    std::erase_if(earlierIncarnations_, [&](const DirectoryUpstream &earlier) {
+        return earlier.upstream.id == record.id && earlier.upstream.incarnation == record.incarnation;
+    });
+    upstreams_[item.key] = {
+        .revision = item.revision, .status = status, .record = record, .disputed = {}, .disputedSince = {}
+    };
     published_.reset();
     const bool draining = record.state != UpstreamState::Active;
     if (!same || (draining && !wasDraining)) {
@@ -204,6 +266,7 @@
     status.listing = lapsed ? Listing::Lapsed : Listing::Gone;
     status.vanishedAt = now;
     found->second.revision = revision;
+    found->second.disputed.reset();
     published_.reset();
     changes.push_back({ .kind = lapsed ? MirrorChange::Kind::UpstreamLapsed : MirrorChange::Kind::UpstreamGone,
                         .key = key,
@@ -249,9 +312,32 @@
     return items;
 }
 
+void DirectoryMirror::endDisputes(TimePoint now, std::vector<MirrorChange> &changes)
+{
+    std::vector<DirectoryItem> ended;
+    for (auto &[key, known] : upstreams_) {
+        if (known.disputed && now - known.disputedSince >= settings_.disputeGrace) {
+            ended.push_back(*std::exchange(known.disputed, std::nullopt));
+        }
+    }
+    for (const DirectoryItem &item : ended) {
+        const auto *record = std::get_if<UpstreamRecord>(&item.content);
+        if (record != nullptr && isInCatalogue(record->service)) {
+            adopt(item, *record, now, changes);
+        } else {
+            markUnlisted(item.key, item.revision, now, changes);
+        }
+    }
+    if (!ended.empty()) {
+        // The revisions of these writes have passed, so that followers need all records.
+        addHistoryGap({ .from = {}, .to = DirectoryRevision { revision_.value + 1 } });
+    }
+}
+
 std::vector<MirrorChange> DirectoryMirror::tick(TimePoint now)
 {
     std::vector<MirrorChange> changes;
+    endDisputes(now, changes);
     for (auto it = upstreams_.begin(); it != upstreams_.end();) {
         DirectoryUpstream &status = it->second.status;
         if (status.listing == Listing::Lapsed && now - status.vanishedAt >= settings_.lapseGrace) {
@@ -319,7 +405,10 @@
     view->entries = publishedEntries_;
     view->upstreams.reserve(upstreams_.size() + earlierIncarnations_.size());
     for (const auto &[key, known] : upstreams_) {
-        view->upstreams.push_back(known.status);
+        // A record of an unknown service may stand at the address of another upstream.
+        if (isInCatalogue(known.record.service)) {
+            view->upstreams.push_back(known.status);
+        }
     }
     view->upstreams.insert(view->upstreams.end(), earlierIncarnations_.begin(), earlierIncarnations_.end());
     published_ = std::move(view);
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,10 @@
     /// An active upstream whose record is removed within this time after an outage of the directory stays in the view
     /// as lapsed for the same time, in case the record returns.
     Duration lapseGrace = std::chrono::milliseconds(2500);
+    /// How long the last valid record of a listed upstream stays in effect after a write that can't be its own: an
+    /// unreadable record, one of an unknown service or of an earlier incarnation. The upstream's own next heartbeats
+    /// restore its record.
+    Duration disputeGrace = std::chrono::seconds(4);
     /// How long an upstream stays in the view for its existing flows after its record was removed.
     Duration removedRetention = std::chrono::seconds(60);
     /// Idle timeout of flows if the catalogue sets none.
@@ -110,6 +115,9 @@
         DirectoryRevision revision;
         DirectoryUpstream status;
         UpstreamRecord record;
+        /// The latest write to the key, if it can't be the upstream's own, and when it was read.
+        std::optional<DirectoryItem> disputed;
+        TimePoint disputedSince;
     };
 
     void apply(const DirectoryItem &item, TimePoint now, std::vector<MirrorChange> &changes);
@@ -122,6 +130,20 @@
                        const UpstreamRecord &record,
                        TimePoint now,
                        std::vector<MirrorChange> &changes);
+    /// Keeps the record of the listed upstream @p known in spite of @p item.
+    void dispute(KnownUpstream &known,
+                 const DirectoryItem &item,
+                 const std::string &reason,
+                 TimePoint now,
+                 std::vector<MirrorChange> &changes);
+    /// Why a write of @p record can't come from the listed upstream @p known; empty if it can.
+    std::string reasonToDispute(const KnownUpstream &known, const UpstreamRecord &record) const;
+    /// Takes disputed writes that were not overwritten in time.
+    void endDisputes(TimePoint now, std::vector<MirrorChange> &changes);
+    void
+    adopt(const DirectoryItem &item, const UpstreamRecord &record, TimePoint now, std::vector<MirrorChange> &changes);
+    /// Whether an entry of the catalogue uses the service; true while there is no catalogue.
+    bool isInCatalogue(const std::string &service) const;
     void
     markUnlisted(const std::string &key, DirectoryRevision revision, TimePoint now, std::vector<MirrorChange> &changes);
     void addHistoryGap(const HistoryGap &gap);
@@ -143,6 +165,8 @@
     std::map<std::string, DirectoryRevision> listedRevisions_;
     DirectoryRevision listedAsOf_;
     std::map<std::string, ServiceId> services_;
+    /// Services that entries of the catalogue use.
+    std::set<std::string> catalogueServices_;
     std::map<std::string, ZoneId> zones_;
     CatalogueMirror catalogue_;
     DirectoryRevision revision_;
