Apply the pages of a listing together, and date removals by their page

Cause: the first page set the revision that the relay gave to followers, and the freshness of its records; what came with later pages had lower revisions. Found by the new test: a record that was removed between two pages got the first page's revision, which followers may have already, so that they kept the host for good. Change: the reader collects the pages and applies them with the last one, as up to date since the first. A missing record is removed with the revision of the page that would have it.

--- a/views/directory_mirror.cpp
+++ b/views/directory_mirror.cpp
@@ -43,6 +43,7 @@
 void DirectoryMirror::beginListing(DirectoryRevision asOf)
 {
     listedRevisions_.clear();
+    listedPages_.clear();
     listedAsOf_ = asOf;
     if (!gapStart_) {
         gapStart_ = complete_ ? revision_ : DirectoryRevision {};
@@ -67,6 +68,7 @@
 std::vector<MirrorChange> DirectoryMirror::applyPage(const DirectoryPage &page, TimePoint now)
 {
     std::vector<MirrorChange> changes;
+    listedPages_.emplace_back(page.lastKey, page.asOf);
     for (const DirectoryItem &item : page.items) {
         listedRevisions_[item.key] = item.revision;
         apply(item, now, changes);
@@ -74,16 +76,28 @@
     return changes;
 }
 
+DirectoryRevision DirectoryMirror::pageRevision(const std::string &key) const
+{
+    for (const auto &[lastKey, asOf] : listedPages_) {
+        if (key <= lastKey) {
+            return asOf;
+        }
+    }
+    return listedPages_.empty() ? listedAsOf_ : listedPages_.back().second;
+}
+
 std::vector<MirrorChange> DirectoryMirror::endListing(TimePoint now)
 {
     std::vector<MirrorChange> changes;
     std::vector<std::pair<std::string, DirectoryRevision>> missing;
     for (const auto &[key, known] : upstreams_) {
-        // A later record than the listing was written after it began, and the watch reports its removal.
-        const bool isCovered = known.revision <= listedAsOf_;
+        // A later record than the page was written after it, and the watch reports its removal.
+        const DirectoryRevision readAt = pageRevision(key);
+        const bool isCovered = known.revision <= readAt;
         if (isCovered && !listedRevisions_.contains(key) && known.status.listing == Listing::Listed) {
-            // Followers have the record's last revision already, so its removal needs the listing's later revision.
-            missing.emplace_back(key, listedAsOf_);
+            // Followers have the record's last revision already, and may have the listing's too if the record was
+            // removed between its pages.
+            missing.emplace_back(key, readAt);
         }
     }
     for (const auto &[key, revision] : missing) {
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -147,6 +147,8 @@
     void
     markUnlisted(const std::string &key, DirectoryRevision revision, TimePoint now, std::vector<MirrorChange> &changes);
     void addHistoryGap(const HistoryGap &gap);
+    /// Revision of the page of the listing in progress that would have the record of @p key.
+    DirectoryRevision pageRevision(const std::string &key) const;
     void retireIncarnation(const KnownUpstream &known, TimePoint now);
     ServiceId serviceNumber(const std::string &name);
     ZoneId zoneNumber(const std::string &name);
@@ -164,6 +166,8 @@
     /// Revisions of the records in the listing in progress.
     std::map<std::string, DirectoryRevision> listedRevisions_;
     DirectoryRevision listedAsOf_;
+    /// Last key and revision of each of its pages, in order.
+    std::vector<std::pair<std::string, DirectoryRevision>> listedPages_;
     std::map<std::string, ServiceId> services_;
     /// Services that entries of the catalogue use.
     std::set<std::string> catalogueServices_;
--- a/views/directory_reader.cpp
+++ b/views/directory_reader.cpp
@@ -95,7 +95,7 @@
     DirectoryCall call;
     call.id = ++lastId_;
     call.kind = DirectoryCall::Kind::List;
-    call.afterKey = afterKey_;
+    call.afterKey = pages_.empty() ? std::string {} : pages_.back().lastKey;
     call.timeout = settings_.answerMargin;
     checkAt_ = now + settings_.listing.checkInterval;
     transferSince_ = now;
@@ -147,14 +147,14 @@
         return outcome;
     }
     recordSuccess(now, outcome);
-    if (!mayBeStale) {
-        confirmedAt_ = now;
-        upToDateAt_ = now;
-    }
     if (const auto *page = std::get_if<DirectoryPage>(&answer.result)) {
         handlePage(*page, now, outcome);
         return outcome;
     }
+    lastAnswer_ = now;
+    if (!mayBeStale) {
+        recordUpToDate(now);
+    }
     const auto &changes = std::get<DirectoryChanges>(answer.result);
     outcome.changes = mirror_.applyChanges(changes, now);
     watchFrom_ = std::max(watchFrom_, changes.asOf);
@@ -271,8 +271,7 @@
     recordRelayAnswer(records, now);
     listed_ = true;
     canWatch_ = true;
-    firstPage_ = true;
-    afterKey_.clear();
+    pages_.clear();
     inProgress_.reset();
     // VMs that started together don't all ask the first relay at once. A VM that a relay referred to another one stays
     // there.
@@ -328,8 +327,7 @@
     confirmedAt_.reset();
     if (failure.error == DirectoryError::HistoryLost) {
         canWatch_ = false;
-        firstPage_ = true;
-        afterKey_.clear();
+        pages_.clear();
         nextAt_ = now;
         return;
     }
@@ -355,27 +353,37 @@
     failures_ = 0;
     outcome.becameReachable = !reachable_;
     reachable_ = true;
-    lastAnswer_ = now;
+}
+
+void DirectoryReader::recordUpToDate(TimePoint at)
+{
+    confirmedAt_ = at;
+    upToDateAt_ = at;
 }
 
 void DirectoryReader::handlePage(const DirectoryPage &page, TimePoint now, ReaderOutcome &outcome)
 {
-    if (firstPage_) {
-        mirror_.beginListing(page.asOf);
-        // Later pages may have later revisions; a watch from the first page's revision misses no change.
-        watchFrom_ = page.asOf;
-        firstPage_ = false;
+    if (pages_.empty()) {
+        firstPageAt_ = now;
     }
-    outcome.changes = mirror_.applyPage(page, now);
+    pages_.push_back(page);
     nextAt_ = now;
     if (page.more && !page.lastKey.empty()) {
-        afterKey_ = page.lastKey;
         return;
     }
-    std::vector<MirrorChange> ended = mirror_.endListing(now);
+    // Later pages may have later revisions; a watch from the first page's revision misses no change.
+    const DirectoryRevision asOf = pages_.front().asOf;
+    mirror_.beginListing(asOf);
+    for (const DirectoryPage &listed : pages_) {
+        const std::vector<MirrorChange> applied = mirror_.applyPage(listed, now);
+        outcome.changes.insert(outcome.changes.end(), applied.begin(), applied.end());
+    }
+    const std::vector<MirrorChange> ended = mirror_.endListing(now);
     outcome.changes.insert(outcome.changes.end(), ended.begin(), ended.end());
-    firstPage_ = true;
-    afterKey_.clear();
+    pages_.clear();
+    lastAnswer_ = firstPageAt_;
+    recordUpToDate(firstPageAt_);
+    watchFrom_ = asOf;
     canWatch_ = true;
     listed_ = true;
 }
--- a/views/directory_reader.h
+++ b/views/directory_reader.h
@@ -208,6 +208,8 @@
                             ReaderOutcome &outcome);
     void handleFailure(const DirectoryFailure &failure, TimePoint now, Random &random, ReaderOutcome &outcome);
     void handlePage(const DirectoryPage &page, TimePoint now, ReaderOutcome &outcome);
+    /// Records that the mirror had all changes up to @p at.
+    void recordUpToDate(TimePoint at);
     void recordSuccess(TimePoint now, ReaderOutcome &outcome);
 
     DirectoryMirror &mirror_;
@@ -226,8 +228,10 @@
     bool listed_ = false;
     /// A watch can continue from @c watchFrom_; otherwise a full listing is needed.
     bool canWatch_ = false;
-    bool firstPage_ = true;
-    std::string afterKey_;
+    /// Pages of the listing in progress, which are applied together: an incomplete listing must not be passed on.
+    std::vector<DirectoryPage> pages_;
+    /// When the first of them was answered.
+    TimePoint firstPageAt_;
     DirectoryRevision watchFrom_;
     std::uint32_t failures_ = 0;
     bool reachable_ = true;
