Read bounds of the settings as fractions and in any range

Cause: durations had to be whole numbers of a unit, and stop_grace and change_bound had narrow limits. Change: the one reader for durations takes fractions and exponents. Both bounds may be 0 s to 24 h; the delays between calls follow a change bound from 0.5 s to 1 minute, and a drain ends half of the grace before it if that is under 1 s. Values that can't be used are still refused with file, line, key and value, and a running process keeps its settings.

--- a/core/duration_text.cpp
+++ b/core/duration_text.cpp
@@ -11,12 +11,14 @@
 namespace
 {
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
+/// A number that isn't negative, with or without a fraction or an exponent.
+std::optional<double> parseNumber(std::string_view text)
 {
-    std::uint64_t number = 0;
+    double number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool leadingZero = text.size() > 1 && text.front() == '0';
-    if (error != std::errc() || end != text.data() + text.size() || leadingZero) {
+    const bool startsWithDigit = !text.empty() && text.front() >= '0' && text.front() <= '9';
+    const bool leadingZero = text.size() > 1 && text[0] == '0' && text[1] >= '0' && text[1] <= '9';
+    if (error != std::errc() || end != text.data() + text.size() || !startsWithDigit || leadingZero) {
         return std::nullopt;
     }
     return number;
@@ -45,10 +47,11 @@
             continue;
         }
         const auto number = parseNumber(text.substr(0, text.size() - unit.suffix.size()));
-        if (!number || *number > maxDurationMilliseconds / unit.milliseconds) {
+        if (!number || *number > static_cast<double>(maxDurationMilliseconds / unit.milliseconds)) {
             return std::nullopt;
         }
-        return std::chrono::milliseconds(*number * unit.milliseconds);
+        const std::chrono::duration<double, std::milli> value(*number * static_cast<double>(unit.milliseconds));
+        return std::chrono::round<Duration>(value);
     }
     return std::nullopt;
 }
--- a/drivers/yaml_tagged_settings.cpp
+++ b/drivers/yaml_tagged_settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maxSettingsBytes = 64UL * 1024;
 constexpr std::size_t maxRelays = 16;
 constexpr double maxLinkMbps = 1e6;
+/// The platform sets bounds as it likes; only values that make no sense are refused.
+constexpr Duration maxBound = 24h;
 
 TaggedSettings readSettings(YamlMap &root)
 {
@@ -36,8 +38,8 @@
     }
     root.endpoints("relays", settings.relays, 0, maxRelays, Presence::Optional);
     root.endpoint("directory", settings.directoryEndpoint, Presence::Required);
-    root.duration("stop_grace", settings.stopGrace, 1s, 1h, Presence::Optional);
-    root.duration("change_bound", settings.changeBound, 1s, 1min, Presence::Optional);
+    root.duration("stop_grace", settings.stopGrace, 0s, maxBound, Presence::Optional);
+    root.duration("change_bound", settings.changeBound, 0s, maxBound, Presence::Optional);
     root.duration("lapse_grace", settings.lapseGrace, 0s, 1min, Presence::Optional);
     root.decimal("link_mbps", settings.linkMbps, 0, maxLinkMbps, Presence::Optional);
     root.number("event_entries", settings.eventRingEntries, 100, 1'000'000, Presence::Optional);
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/yaml_tagged_settings.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <stdexcept>
@@ -16,6 +17,9 @@
 constexpr Duration secondInterval = std::chrono::seconds(1);
 /// Kept between the end of a drain and the moment at which the process would be killed.
 constexpr Duration stopMargin = std::chrono::milliseconds(500);
+/// Limits of the bound for changes that the delays between calls follow.
+constexpr Duration minChangeBound = std::chrono::milliseconds(500);
+constexpr Duration maxChangeBound = std::chrono::minutes(1);
 /// Part of the bound for changes in which they may collect before the next call: the rest is left for a slow answer and
 /// a failed call.
 constexpr int collectDivisor = 4;
@@ -28,18 +32,25 @@
 /// Time after the collection in which all VMs have read of a new upstream.
 constexpr Duration settleMargin = std::chrono::seconds(1);
 
+Duration drainBound(Duration stopGrace)
+{
+    return std::max(stopGrace - stopMargin, stopGrace / 2);
+}
+
 TaggedNodeSettings nodeSettings(const TaggedSettings &settings, Incarnation incarnation)
 {
     TaggedNodeSettings out;
+    // Shorter delays would keep the processor busy with calls, and longer ones would keep records too long.
+    const Duration changeBound = std::clamp(settings.changeBound, minChangeBound, maxChangeBound);
     out.mirror.zone = settings.zone;
     out.mirror.lapseGrace = settings.lapseGrace;
-    out.reader.batchingDelay = settings.changeBound / collectDivisor;
-    out.reader.staleReadWindow = settings.changeBound / staleDivisor;
+    out.reader.batchingDelay = changeBound / collectDivisor;
+    out.reader.staleReadWindow = changeBound / staleDivisor;
     // Three parts have to fit into the bound: a relay that lost the directory, the call in progress there, and reading
     // for oneself.
-    out.reader.follow.maxStaleness = settings.changeBound / staleDivisor;
-    out.reader.follow.relayLongPollWait = settings.changeBound / relayWatchDivisor;
-    out.reader.follow.relayBatchingDelay = settings.changeBound / relayCollectDivisor;
+    out.reader.follow.maxStaleness = changeBound / staleDivisor;
+    out.reader.follow.relayLongPollWait = changeBound / relayWatchDivisor;
+    out.reader.follow.relayBatchingDelay = changeBound / relayCollectDivisor;
     if (settings.relayEndpoint) {
         out.reader.follow.relays = settings.relays;
         out.reader.follow.self = *settings.relayEndpoint;
@@ -50,7 +61,7 @@
     // A record that comes back late is read at the latest with the next up-to-date answer.
     out.routing.unlistedTimeoutUnanswered = settings.lapseGrace;
     out.routing.unlistedTimeout = settings.lapseGrace + out.reader.staleReadWindow;
-    out.drainBound = settings.stopGrace - stopMargin;
+    out.drainBound = drainBound(settings.stopGrace);
     out.flowLogLinesPerSecond = settings.flowLogLinesPerSecond;
     out.seed = vmNumber(settings.vm).value ^ incarnation.value;
     out.routing.seed = out.seed;
@@ -250,7 +261,7 @@
     }
     settings_ = changed;
     parts_.log.setLeast(static_cast<EventSeverity>(settings_.logLevel));
-    node_.setDrainBound(settings_.stopGrace - stopMargin);
+    node_.setDrainBound(drainBound(settings_.stopGrace));
     node_.setRelays(settings_.relayEndpoint ? settings_.relays : std::vector<Endpoint> {});
     parts_.events.record(EventNumber::SettingsReloaded, 0, {});
 }
