--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace boragelug
 {
 namespace
@@ -95,6 +97,41 @@
     EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(decodeOne(noBase64).content));
 }
 
+// Guards VMs against another writer's record that ends them: deep nesting, and numbers and ports out of range.
+TEST(StoreCodec, SurvivesOddRecords)
+{
+    constexpr std::size_t depth = 200'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string &value : { nested,
+                                      "{\"service\":" + nested + "}",
+                                      std::string(depth, '{'),
+                                      std::string("1e999"),
+                                      std::string("{\"born\":1e999}"),
+                                      std::string("99999999999999999999999") }) {
+        EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(decodeOne(item("servers/i-1", 7, value)).content));
+    }
+    for (const auto &[field, value] :
+         std::vector<std::pair<std::string, std::string>> { { "address", R"("10.1.1.1:70000")" },
+                                                            { "address", R"("10.1.1.1:-1")" },
+                                                            { "address", R"("10.1.1.300:80")" },
+                                                            { "concurrency", "18446744073709551616" },
+                                                            { "concurrency", "4294967296" },
+                                                            { "born", "18446744073709551616" },
+                                                            { "born", "-1" } }) {
+        Json odd = hostValue();
+        odd[field] = Json::parse(value);
+        EXPECT_TRUE(std::holds_alternative<UnreadableRecord>(decodeOne(item("servers/i-1", 7, odd.dump())).content))
+            << field << ' ' << value;
+    }
+    Json cold = hostValue();
+    cold["cold_left_ms"] = std::numeric_limits<std::uint64_t>::max();
+    const DirectoryItem read = decodeOne(item("servers/i-1", 7, cold.dump()));
+    EXPECT_EQ(std::get<UpstreamRecord>(read.content).coldLeft, Duration::zero());
+    EXPECT_TRUE(decodeStorePage(R"({"as_of":1,"items":[)" + nested + R"(,{"key":)" + nested + "}]}"));
+    EXPECT_FALSE(decodeStorePage(nested));
+    EXPECT_FALSE(decodeStoreChanges("{\"as_of\":1e999,\"events\":[]}"));
+}
+
 // Guards the mapping of routes, with a single service or weighted ones.
 TEST(StoreCodec, ReadsACatalogue)
 {
