--- a/core/duration_text.cpp
+++ b/core/duration_text.cpp
@@ -47,11 +47,14 @@
             continue;
         }
         const auto number = parseNumber(text.substr(0, text.size() - unit.suffix.size()));
-        if (!number || *number > static_cast<double>(maxDurationMilliseconds / unit.milliseconds)) {
+        if (!number) {
             return std::nullopt;
         }
-        const std::chrono::duration<double, std::milli> value(*number * static_cast<double>(unit.milliseconds));
-        return std::chrono::round<Duration>(value);
+        const double milliseconds = *number * static_cast<double>(unit.milliseconds);
+        if (milliseconds > static_cast<double>(maxDurationMilliseconds)) {
+            return std::nullopt;
+        }
+        return std::chrono::round<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
     }
     return std::nullopt;
 }
--- a/routing/sequence_number.h
+++ b/routing/sequence_number.h
@@ -5,6 +5,9 @@
 namespace boragelug
 {
 
+/// Maximum distance in bytes between a packet and the record of its flow, of which a VM may have seen only parts.
+inline constexpr std::uint32_t maxSequenceGap = 1U << 20U;
+
 /// Whether the TCP sequence number @p left is after @p right, modulo 2^32. Thread-safe.
 inline bool isAfter(std::uint32_t left, std::uint32_t right)
 {
--- /dev/null
+++ b/routing/tagged_openings.cpp
@@ -0,0 +1,209 @@
+#include "core/hash.h"
+#include "routing/sequence_number.h"
+#include "routing/tagged_router.h"
+
+#include <algorithm>
+
+namespace boragelug
+{
+namespace
+{
+
+/// Selects the service of a flow by the weights of the entry; the same for all copies of a SYN on all VMs.
+ServiceId serviceOf(const DirectoryEntry &entry, const FlowPacket &packet)
+{
+    std::uint64_t total = 0;
+    for (const auto &[service, weight] : entry.services) {
+        total += weight;
+    }
+    const std::uint64_t callerHash = combineHash(packet.caller.address.value, packet.caller.port.value);
+    std::uint64_t point = combineHash(callerHash, packet.sequence) % total;
+    for (const auto &[service, weight] : entry.services) {
+        if (point < weight) {
+            return service;
+        }
+        point -= weight;
+    }
+    return entry.services.front().first;
+}
+
+} // namespace
+
+TaggedDecision TaggedRouter::routeSyn(const FlowPacket &packet,
+                                      const DirectoryEntry &entry,
+                                      const RouteOptions &options,
+                                      TimePoint now)
+{
+    const auto found = flows_.find(FlowId { packet.caller, packet.entry });
+    if (found != flows_.end() && isCopyOfSyn(found->second, packet)) {
+        return routeSynCopy(packet, entry, found->second, options, now);
+    }
+    // Another VM may have placed the first SYN. If the upstreams of both VMs answered, the caller would get two tags.
+    // If none answers, the caller opens another flow.
+    if (packet.synCopies > 0) {
+        return refuse(TaggedRefusal::UnplacedCopy, false);
+    }
+    const ServiceId service = serviceOf(entry, packet);
+    const WaitingRequestAttributes attributes =
+        waitingRequestAttributes(packet, entry, service, false, now - options.waited);
+    if (options.mayQueue && placeable_.contains(service) && !isBelowLimit(service, now >= attributes.lateAt, now)) {
+        return queueDecision(attributes);
+    }
+    return place(packet, entry, PlacementReason::First, options.viewIsFresh, now);
+}
+
+// A VM that did not place the flow has no record of its SYN, but knows the sequence numbers of its data.
+bool TaggedRouter::isCopyOfSyn(const Flow &flow, const FlowPacket &syn)
+{
+    return flow.synSequence == syn.sequence
+        || (syn.synCopies > 0 && flow.phase == FlowPhase::Open
+            && isNear(syn.sequence, flow.nextSequence, maxSequenceGap));
+}
+
+// The caller opens the flow at the first upstream that answers, but uses the tag of the last one, which other VMs then
+// take for the flow's upstream. So a SYN goes to a second upstream only if the first one can't answer any more.
+TaggedDecision TaggedRouter::routeSynCopy(
+    const FlowPacket &packet, const DirectoryEntry &entry, Flow &flow, const RouteOptions &options, TimePoint now)
+{
+    flow.lastPacket = now;
+    const bool isOpening = flow.phase == FlowPhase::Opening;
+    if (isOpening && !flow.unansweredCounted && now - flow.synSentAt >= settings_.queuedSynWindow) {
+        flow.unansweredCounted = true;
+        countUnanswered(*flow.upstream, now);
+    }
+    if (isOpening && hasStoppedAnswering(*flow.upstream, now)) {
+        flow.tried = { flow.upstream->status.upstream.id, flow.tried.front() };
+        return place(packet, entry, PlacementReason::OtherAfterNoAnswer, options.viewIsFresh, now);
+    }
+    if (!isInView(*flow.upstream)) {
+        return refuse(TaggedRefusal::UnknownTag, false);
+    }
+    ++counters_.forwarded;
+    return ForwardPacket { .upstream = flow.upstream->status.upstream.id,
+                           .address = flow.upstream->status.upstream.tunnelEndpoint,
+                           .tag = flow.upstream->tag,
+                           .placed = true,
+                           .reason = PlacementReason::Repeated };
+}
+
+bool TaggedRouter::hasStoppedAnswering(const TrackedUpstream &upstream, TimePoint now) const
+{
+    return !isInView(upstream) || upstream.status.listing == Listing::Gone || hasLostAddress(upstream)
+        || isSilent(upstream.health, settings_.health, now);
+}
+
+PlacementCandidate TaggedRouter::placementCandidate(const TrackedUpstream &upstream, TimePoint now) const
+{
+    PlacementCandidate candidate;
+    candidate.busyFlows = upstream.busyFlows;
+    candidate.idleFlows = upstream.openFlows - std::min(upstream.openFlows, upstream.busyFlows);
+    candidate.slots = std::max<std::uint32_t>(1, upstream.status.slots);
+    candidate.local = upstream.status.upstream.zone == view_->selfZone;
+    candidate.cold = now < upstream.status.coldUntil;
+    candidate.propagating =
+        upstream.status.knownSince != TimePoint {} && now - upstream.status.knownSince < settings_.propagationDelay;
+    candidate.suspect = isSuspect(upstream.health, settings_.health, now);
+    candidate.ejected = isEjected(upstream.health, now) || isSilent(upstream.health, settings_.health, now);
+    return candidate;
+}
+
+std::vector<std::shared_ptr<TaggedRouter::TrackedUpstream>>
+TaggedRouter::selectUpstreams(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now)
+{
+    static_cast<void>(now);
+    std::vector<std::shared_ptr<TrackedUpstream>> chosen;
+    const auto found = placeable_.find(serviceOf(entry, packet));
+    if (found == placeable_.end()) {
+        return chosen;
+    }
+    const auto &serviceUpstreams = found->second;
+    const std::size_t wanted = settings_.placement.maxCompared;
+    const std::size_t offset = serviceUpstreams.size() <= wanted ? 0 : random_.below(serviceUpstreams.size());
+    const std::size_t stride = std::max<std::size_t>(1, serviceUpstreams.size() / wanted);
+    for (std::size_t i = 0; i < serviceUpstreams.size() && chosen.size() < wanted; ++i) {
+        chosen.push_back(serviceUpstreams[(offset + i * stride) % serviceUpstreams.size()]);
+    }
+    if (earlier != nullptr) {
+        const auto wasTried = [&](const auto &upstream) {
+            const UpstreamId id = upstream->status.upstream.id;
+            return std::find(earlier->tried.begin(), earlier->tried.end(), id) != earlier->tried.end();
+        };
+        if (!std::all_of(chosen.begin(), chosen.end(), wasTried)) {
+            std::erase_if(chosen, wasTried);
+        }
+    }
+    return chosen;
+}
+
+TaggedDecision TaggedRouter::place(
+    const FlowPacket &packet, const DirectoryEntry &entry, PlacementReason reason, bool viewIsFresh, TimePoint now)
+{
+    const FlowId id { packet.caller, packet.entry };
+    const auto found = flows_.find(id);
+    const bool retried = reason == PlacementReason::OtherAfterNoAnswer;
+    const UpstreamId movedFrom = retried ? found->second.upstream->status.upstream.id : UpstreamId {};
+    const auto upstreams = selectUpstreams(packet, entry, retried ? &found->second : nullptr, now);
+    std::vector<PlacementCandidate> candidates;
+    candidates.reserve(upstreams.size());
+    for (const auto &upstream : upstreams) {
+        candidates.push_back(placementCandidate(*upstream, now));
+    }
+    const auto choice = placeFlow(candidates, settings_.placement, random_);
+    if (!choice) {
+        return refuse(TaggedRefusal::NoUpstream, viewIsFresh);
+    }
+    const auto &upstream = upstreams[*choice];
+    ++counters_.forwarded;
+    ++counters_.placed;
+    counters_.moved += retried ? 1 : 0;
+    counters_.placedRemote += candidates[*choice].local ? 0 : 1;
+    if (found != flows_.end() || flows_.size() < settings_.maxTrackedFlows) {
+        Flow &flow = found != flows_.end() ? found->second : flows_[id];
+        const auto tried = retried ? flow.tried : std::array<UpstreamId, 2> {};
+        unassignUpstream(flow);
+        flow = Flow {};
+        flow.tried = tried;
+        flow.synSequence = packet.sequence;
+        flow.nextSequence = packet.sequence + 1;
+        flow.lastPacket = now;
+        flow.synSentAt = now;
+        flow.objective = entry.latencyObjective;
+        assignUpstream(flow, upstream);
+        openings_.push_back({ .flow = id, .synSequence = packet.sequence, .placedAt = now });
+        // A caller that opens a flow is about to send a request, so that the request counts from here on.
+        beginRequest(flow, now);
+    }
+    return ForwardPacket { .upstream = upstream->status.upstream.id,
+                           .address = upstream->status.upstream.tunnelEndpoint,
+                           .tag = upstream->tag,
+                           .placed = true,
+                           .reason = reason,
+                           .movedFrom = movedFrom,
+                           .cost = placementCost(candidates[*choice], settings_.placement),
+                           .compared = candidates.size() };
+}
+
+Duration TaggedRouter::openingTime() const
+{
+    return std::max(settings_.minOpeningTime, meanOpeningTime_ * 2);
+}
+
+void TaggedRouter::checkOpenings(TimePoint now)
+{
+    while (!openings_.empty() && now - openings_.front().placedAt >= openingTime()) {
+        const Opening opening = openings_.front();
+        openings_.pop_front();
+        const auto found = flows_.find(opening.flow);
+        const bool isUnanswered = found != flows_.end() && found->second.phase == FlowPhase::Opening
+            && found->second.synSequence == opening.synSequence && found->second.synSentAt == opening.placedAt;
+        if (!isUnanswered) {
+            continue;
+        }
+        TrackedUpstream &upstream = *found->second.upstream;
+        if (beginCheckIfDue(upstream.health, CheckCause::StalledOpening, earlyChecks_, settings_.health, now)) {
+            requestCheck(upstream);
+        }
+    }
+}
+
+} // namespace boragelug
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -186,7 +186,7 @@
         }
     };
     const auto beat = std::chrono::milliseconds(200 + random.below(1200));
-    const std::uint64_t kind = random.below(5);
+    const std::uint64_t kind = random.below(6);
     if (kind <= 1) {
         restartUpstream(id, random);
     } else if (kind == 2) {
@@ -200,6 +200,10 @@
             Incarnation { current.incarnation.value - std::min<std::uint64_t>(1, current.incarnation.value) };
         store_->set(hostKey(UpstreamId { id }), hostValue(earlier));
         runAfter(beat, restore);
+    } else if (kind == 4) {
+        recordFault("store compacts its history");
+        invariants_.recordStoreDisturbance(now());
+        store_->compact();
     } else {
         const std::uint64_t foreignId = nextUpstreamId_++;
         recordFault("write a record of an unknown service at the address of upstream " + std::to_string(id));
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -32,6 +32,7 @@
 constexpr Duration restartDelay = 200ms;
 constexpr Duration settleTime = 3s; // Without faults: before the first one, and while the recovery is measured.
 constexpr double longPauseChance = 0.1;
+constexpr std::size_t itemsPerPage = 10;
 constexpr Duration finalOutage = 1s; // From the kill of all VMs at the end until their restart.
 
 } // namespace
@@ -47,6 +48,7 @@
 {
     store_ = std::make_unique<StoreStandin>(
         runtime_.context(), toTcpEndpoint(makeEndpoint(storeGroup, 1, storePort)), plan_.seed);
+    store_->setPageSize(plan_.mix == FaultMix::Records ? itemsPerPage : 0);
     entries_ = { { .address = entryEndpoint(1), .service = "ledger", .removedAt = {} },
                  { .address = entryEndpoint(2), .service = "inspection", .removedAt = {} } };
     for (std::size_t i = 0; i < plan_.upstreams; ++i) {
--- a/tests/drivers/yaml_tagged_settings_test.cpp
+++ b/tests/drivers/yaml_tagged_settings_test.cpp
@@ -49,7 +49,9 @@
     };
     for (const auto &[text, value] : bounds) {
         for (const std::string key : { "stop_grace", "change_bound" }) {
-            const auto settings = parseTaggedSettings(valid + key + ": " + text + "\n", "test.yaml");
+            std::string file = valid;
+            file.append(key).append(": ").append(text).append("\n");
+            const auto settings = parseTaggedSettings(file, "test.yaml");
             ASSERT_TRUE(settings) << key << ' ' << text;
             EXPECT_EQ(key == "stop_grace" ? settings->stopGrace : settings->changeBound, value) << text;
         }
--- a/tests/routing/tagged_fixture.h
+++ b/tests/routing/tagged_fixture.h
@@ -3,6 +3,8 @@
 #include "model/directory_view.h"
 #include "routing/tagged_router.h"
 
+#include <gtest/gtest.h>
+
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
@@ -96,4 +98,37 @@
 }
 
 } // namespace tagged
+
+/// One VM's router, and the time.
+class TaggedRouterTest : public ::testing::Test
+{
+protected:
+    TaggedRouterTest()
+        : router(TaggedRouterSettings {})
+    { }
+
+    void setUpstreams(std::vector<DirectoryUpstream> upstreams)
+    {
+        router.applyView(tagged::view(std::move(upstreams)), now);
+    }
+
+    std::optional<ForwardPacket> route(const FlowPacket &packet)
+    {
+        return tagged::forwarded(router.route(packet, { .viewIsFresh = true }, now));
+    }
+
+    /// Ends the health checks that are due, all with the same result; returns their number.
+    std::size_t checkUpstreams(bool answered)
+    {
+        const auto checks = router.takeChecks();
+        for (const UpstreamCheck &check : checks) {
+            router.recordCheckResult(check, answered, now);
+        }
+        return checks.size();
+    }
+
+    TaggedRouter router;
+    TimePoint now { std::chrono::seconds(100) };
+};
+
 } // namespace boragelug
