--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -282,7 +282,7 @@
 
 void TaggedNode::routeDequeued(WaitingRequest request, TimePoint now, std::vector<DequeuedPacket> &dequeued)
 {
-    // The other VM may have placed a copy of the SYN meanwhile.
+    // The fabric now uses another VM for the flow, which may have placed a copy of the SYN.
     const bool movedAway =
         request.packets.front().head.syn && router_.hasMovedAway(request.lastSynCopy, now - request.attributes.sentAt);
     for (WaitingPacket &packet : request.packets) {
--- a/programs/boragelugctl/event_log.cpp
+++ b/programs/boragelugctl/event_log.cpp
@@ -120,9 +120,7 @@
         return "the VM had been suspended: it dropped the SYN, which may have been sent long before";
     }
     if (signs.drop == "unplaced_copy") {
-        return "the flow moved to this VM while it opened: the VM dropped a copy of the SYN, as the upstream of "
-               "another "
-               "VM may still answer";
+        return "the flow moved to this VM while it opened; another VM's upstream may still answer its SYN";
     }
     if (signs.drop == "unknown_entry") {
         return "dropped: catalogue " + signs.catalogue + " has no entry with that address, as far as the VM could tell";
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,9 +1,13 @@
 #include "soak/soak_simulation.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <getopt.h>
 #include <sysexits.h>
@@ -40,35 +44,31 @@
     bool valid = true;
 };
 
-/// The sabotage with this name; std::nullopt if the name is unknown.
+/// The value with this name; std::nullopt if the name is unknown.
+template<class T>
+std::optional<T> findNamed(const std::vector<std::pair<std::string, T>> &names, const std::string &name)
+{
+    const auto found = std::find_if(names.begin(), names.end(), [&](const auto &known) { return known.first == name; });
+    return found != names.end() ? std::optional(found->second) : std::nullopt;
+}
+
 std::optional<Sabotage> parseSabotage(const std::string &name)
 {
-    const std::vector<std::pair<std::string, Sabotage>> names { { "bytes", Sabotage::Bytes },
-                                                                { "withhold", Sabotage::Withhold },
-                                                                { "reset", Sabotage::Reset },
-                                                                { "service", Sabotage::Service },
-                                                                { "deaf", Sabotage::Deaf } };
-    for (const auto &[known, value] : names) {
-        if (known == name) {
-            return value;
-        }
-    }
-    return std::nullopt;
+    return findNamed<Sabotage>({ { "bytes", Sabotage::Bytes },
+                                 { "withhold", Sabotage::Withhold },
+                                 { "reset", Sabotage::Reset },
+                                 { "service", Sabotage::Service },
+                                 { "deaf", Sabotage::Deaf } },
+                               name);
 }
 
-/// The mix of faults with this name; std::nullopt if the name is unknown.
 std::optional<FaultMix> parseMix(const std::string &name)
 {
-    const std::vector<std::pair<std::string, FaultMix>> names { { "unplanned", FaultMix::Unplanned },
-                                                                { "planned", FaultMix::Planned },
-                                                                { "late-answers", FaultMix::LateAnswers },
-                                                                { "records", FaultMix::Records } };
-    for (const auto &[known, value] : names) {
-        if (known == name) {
-            return value;
-        }
-    }
-    return std::nullopt;
+    return findNamed<FaultMix>({ { "unplanned", FaultMix::Unplanned },
+                                 { "planned", FaultMix::Planned },
+                                 { "late-answers", FaultMix::LateAnswers },
+                                 { "records", FaultMix::Records } },
+                               name);
 }
 
 Options parse(int argc, char **argv)
