Keep the loopback networks of the soak tests apart from those of the daemon tests

The daemon tests take an odd network by their process id, and the soak tests took odd and even ones. Change: the soak tests take even networks only, in separate ranges. Checks, seeds and lengths stay.

--- a/tests/programs/soak_mixes_test.sh
+++ b/tests/programs/soak_mixes_test.sh
@@ -5,15 +5,15 @@
 build="$1"
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-# Networks that soak_test.sh doesn't use.
-network=$((222 + $$ % 4 * 4))
+# Even networks that soak_test.sh doesn't use.
+network=$((224 + $$ % 2 * 8))
 
 offset=0
 runs=()
 for case in "late-answers 1" "late-answers 2" "records 1" "records 2"; do
   read -r mix seed <<<"$case"
   "$build/soak/boragelug_soak" --program "$build/programs/boragelugd" --folder "$folder/$offset" \
-    --network "$((network + offset))" --mix "$mix" --seed "$seed" --length 12 --vms 8 --upstreams 24 \
+    --network "$((network + 2 * offset))" --mix "$mix" --seed "$seed" --length 12 --vms 8 --upstreams 24 \
     >"$folder/report-$offset" 2>&1 &
   runs+=("$!:$offset")
   offset=$((offset + 1))
--- a/tests/programs/soak_test.sh
+++ b/tests/programs/soak_test.sh
@@ -5,7 +5,7 @@
 build="$1"
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-# The process id spreads the loopback networks of runs at the same time.
+# The process id spreads the loopback networks of runs at the same time. Odd networks are those of daemon_test.h.
 network=$((16 + $$ % 100 * 2))
 
 # Each run has a loopback network of its own, so that several can share the machine.
@@ -13,7 +13,7 @@
   local offset="$1"
   shift
   "$build/soak/boragelug_soak" --program "$build/programs/boragelugd" --folder "$folder/$offset" \
-    --network "$((network + offset))" "$@"
+    --network "$((network + 2 * offset))" "$@"
 }
 
 # 120: a packet reached a host of another service, because the soak wrote ids of hosts in decimal digits.
