--- a/tests/programs/daemon_robustness_test.cpp
+++ b/tests/programs/daemon_robustness_test.cpp
@@ -5,7 +5,10 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 
+#include <chrono>
+#include <deque>
 #include <set>
+#include <utility>
 
 namespace boragelug
 {
@@ -76,9 +79,17 @@
 {
     ASSERT_TRUE(logsAfter("process_ready"));
     std::uint16_t sent = 0;
+    std::deque<std::pair<std::uint16_t, std::chrono::steady_clock::time_point>> uncopied;
     const auto sendFor = [&](std::chrono::milliseconds length) {
         for (std::chrono::milliseconds at = 0ms; at < length; at += 5ms) {
-            sendSyn(static_cast<std::uint16_t>(2000 + sent++), this->at(50, 443), 0);
+            const auto port = static_cast<std::uint16_t>(2000 + sent++);
+            const auto now = std::chrono::steady_clock::now();
+            sendSyn(port, this->at(50, 443), 0);
+            uncopied.emplace_back(port, now);
+            // Callers send a SYN without an answer again.
+            for (; now - uncopied.front().second >= 200ms; uncopied.pop_front()) {
+                sendSyn(uncopied.front().first, this->at(50, 443), 1);
+            }
             runFor(5ms);
         }
     };
