Add faults of reachability to the soak

Reproduces the report of open flows that were reset while their upstreams served. New mix `reachability`: while VMs are stopped and started, a running upstream loses its record for 3 to 10 s, ignores TCP connections but serves its flows, or another record is written with its address. Long pauses last 3 to 10 s now (4 to 8 before), and are more frequent in this mix.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -24,6 +24,9 @@
 constexpr std::array<FaultTarget, 4> recordTargets {
     FaultTarget::PlannedVm, FaultTarget::Lifetime, FaultTarget::Lifetime, FaultTarget::Catalogue
 };
+constexpr std::array<FaultTarget, 4> reachabilityTargets {
+    FaultTarget::PlannedVm, FaultTarget::Reachability, FaultTarget::Reachability, FaultTarget::Upstream
+};
 
 std::span<const FaultTarget> targetsOf(FaultMix mix)
 {
@@ -36,6 +39,8 @@
         return lateAnswerTargets;
     case FaultMix::Records:
         return recordTargets;
+    case FaultMix::Reachability:
+        return reachabilityTargets;
     }
     return targets;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -18,7 +18,8 @@
     Partition, ///< One VM is cut off in one direction: from callers, or from upstreams.
     PlannedVm, ///< A VM's process is stopped by SIGTERM and started again, or its settings are reloaded.
     Lifetime, ///< An upstream starts again under its id, or its record is replaced by a late or foreign one.
-    Answers ///< Some upstreams answer late.
+    Answers, ///< Some upstreams answer late.
+    Reachability ///< A running upstream loses its record, or can't be reached by some of its peers.
 };
 
 /// Which faults a plan consists of.
@@ -26,7 +27,8 @@
     Unplanned, ///< Crashes, outages and planned work.
     Planned, ///< Planned work on VMs, upstreams and the catalogue.
     LateAnswers, ///< Planned work while upstreams answer late.
-    Records ///< Planned work while upstreams start again under their ids, and odd records are written.
+    Records, ///< Planned work while upstreams start again under their ids, and odd records are written.
+    Reachability ///< Planned work while upstreams are cut off from the store, from checks or from single VMs.
 };
 
 /// One fault of a plan. What exactly happens is drawn from the fault's own seed, so that it doesn't depend on the
--- a/soak/simulated_caller.cpp
+++ b/soak/simulated_caller.cpp
@@ -17,8 +17,8 @@
 constexpr Duration requestTimeout = 2500ms;
 constexpr std::size_t requestBytes = 120;
 // Long pauses end before the idle timeout of flows.
-constexpr Duration minLongPause = 4s;
-constexpr std::uint64_t longPauseSpreadMilliseconds = 4000;
+constexpr Duration minLongPause = 3s;
+constexpr std::uint64_t longPauseSpreadMilliseconds = 7000;
 
 } // namespace
 
--- a/soak/simulated_upstream.cpp
+++ b/soak/simulated_upstream.cpp
@@ -48,6 +48,24 @@
     invariants_.recordUpstreamStopped(id_);
 }
 
+void SimulatedUpstream::setIgnoresConnections(bool ignores)
+{
+    fillers_.clear();
+    if (!ignores) {
+        acceptor_.listen();
+        return;
+    }
+    // Linux drops a SYN while the accept queue is full. The connections of earlier checks are still in the queue.
+    acceptor_.listen(0);
+    constexpr std::size_t fillerCount = 4;
+    fillers_.reserve(fillerCount);
+    for (std::size_t i = 0; i < fillerCount; ++i) {
+        // The last ones stay unanswered until the sockets are closed.
+        fillers_.emplace_back(acceptor_.get_executor());
+        fillers_.back().async_connect(toTcpEndpoint(address_), [](const asio::error_code &) {});
+    }
+}
+
 void SimulatedUpstream::receive(const Endpoint &from, std::span<const std::byte> datagram)
 {
     if (datagram.size() < idPrefixBytes || readBigEndian<std::uint64_t>(datagram, 0) != id_) {
--- a/soak/simulated_upstream.h
+++ b/soak/simulated_upstream.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace boragelug::soak
 {
@@ -52,6 +53,9 @@
     /// Sends SYN-ACKs that were not acknowledged again. Call it at least every 20 ms.
     void tick();
 
+    /// Makes the upstream ignore TCP connections, as one whose accept queue is full, or accept them again.
+    void setIgnoresConnections(bool ignores);
+
     void setDraining(TimePoint now) { drainingSince_ = now; }
     bool isDraining() const { return drainingSince_.has_value(); }
     std::uint64_t id() const { return id_; }
@@ -85,6 +89,8 @@
     InvariantChecker &invariants_;
     UdpSocket socket_;
     asio::ip::tcp::acceptor acceptor_;
+    /// Connections of the upstream's own that fill its accept queue.
+    std::vector<asio::ip::tcp::socket> fillers_;
     std::optional<TimePoint> drainingSince_;
     std::map<FlowEndpoints, Flow> flows_;
 };
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -257,6 +257,60 @@
                 + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()) + " ms late");
 }
 
+void SoakSimulation::loseRecord(std::uint64_t id, Duration length)
+{
+    store_->remove(hostKey(UpstreamId { id }));
+    runAfter(length, [this, id] {
+        if (const SimulatedUpstream *known = findUpstream(id)) {
+            store_->set(hostKey(UpstreamId { id }), hostValue(makeRecord(*known, known->service())));
+        }
+    });
+}
+
+void SoakSimulation::writeRecordAtAddress(const SimulatedUpstream &upstream, Duration length, bool later)
+{
+    UpstreamRecord record = makeRecord(upstream, upstream.service());
+    record.id = UpstreamId { nextUpstreamId_++ };
+    record.incarnation = Incarnation { later ? nextIncarnation_++ : 0 };
+    store_->set(hostKey(record.id), hostValue(record));
+    runAfter(length, [this, key = hostKey(record.id)] { store_->remove(key); });
+}
+
+// The upstream serves its flows all the time, so that none of these faults excuses a reset.
+void SoakSimulation::injectReachabilityFault(Random &random)
+{
+    SimulatedUpstream &upstream = **std::next(upstreams_.begin(), static_cast<long>(random.below(upstreams_.size())));
+    const std::uint64_t id = upstream.id();
+    const std::string name = "upstream " + std::to_string(id);
+    const auto length = std::chrono::milliseconds(3000 + random.below(7000));
+    const std::uint64_t kind = random.below(4);
+    if (upstream.isDraining()) {
+        return;
+    }
+    if (kind == 0) {
+        recordFault(name + " loses its record for " + std::to_string(length.count()) + " ms");
+        loseRecord(id, length);
+    } else if (kind == 1) {
+        recordFault(name + " ignores connections for " + std::to_string(length.count()) + " ms");
+        upstream.setIgnoresConnections(true);
+        runAfter(length, [this, id] {
+            if (SimulatedUpstream *known = findUpstream(id)) {
+                known->setIgnoresConnections(false);
+            }
+        });
+    } else if (kind == 2) {
+        recordFault("upstreams can't reach the store for " + std::to_string(length.count()) + " ms");
+        for (const auto &known : upstreams_) {
+            if (!known->isDraining() && random.chance(0.3)) {
+                loseRecord(known->id(), length);
+            }
+        }
+    } else {
+        recordFault("write a record at the address of " + name);
+        writeRecordAtAddress(upstream, length / 3, random.chance(0.5));
+    }
+}
+
 void SoakSimulation::inject(const PlannedFault &fault)
 {
     Random random(fault.seed);
@@ -288,6 +342,9 @@
     case FaultTarget::Answers:
         injectLateAnswers(random);
         return;
+    case FaultTarget::Reachability:
+        injectReachabilityFault(random);
+        return;
     }
 }
 
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -32,9 +32,22 @@
 constexpr Duration restartDelay = 200ms;
 constexpr Duration settleTime = 3s; // Without faults: before the first one, and while the recovery is measured.
 constexpr double longPauseChance = 0.1;
+constexpr double frequentLongPauseChance = 0.4;
 constexpr std::size_t itemsPerPage = 10;
 constexpr Duration finalOutage = 1s; // From the kill of all VMs at the end until their restart.
 
+double longPauseChanceOf(FaultMix mix)
+{
+    switch (mix) {
+    case FaultMix::Unplanned:
+        return 0;
+    case FaultMix::Reachability:
+        return frequentLongPauseChance;
+    default:
+        return longPauseChance;
+    }
+}
+
 } // namespace
 
 SoakSimulation::SoakSimulation(Plan plan, std::uint8_t network)
@@ -70,7 +83,7 @@
         callerSockets_.push_back(std::make_unique<UdpSocket>(runtime_.context(), address));
         callers_.emplace_back(address.address,
                               combineHash(plan_.seed, i),
-                              plan_.mix == FaultMix::Unplanned ? 0 : longPauseChance,
+                              longPauseChanceOf(plan_.mix),
                               invariants_,
                               [this, i](std::vector<std::byte> packet) { sendThroughFabric(i, std::move(packet)); });
         callerSockets_.back()->start([this, i](const Endpoint &, std::span<const std::byte> bytes) {
--- a/soak/soak_simulation.h
+++ b/soak/soak_simulation.h
@@ -139,6 +139,11 @@
     void injectLifetimeFault(Random &random);
     void restartUpstream(std::uint64_t id, Random &random);
     void injectLateAnswers(Random &random);
+    void injectReachabilityFault(Random &random);
+    /// Removes the record of a running upstream, which writes it again after @p length.
+    void loseRecord(std::uint64_t id, Duration length);
+    /// Writes the record of another upstream of the same service with the address of a running one.
+    void writeRecordAtAddress(const SimulatedUpstream &upstream, Duration length, bool later);
     void runAfter(Duration delay, std::function<void()> action);
     void recordFault(const std::string &what);
     void runFor(Duration length);
