Reset flows of an unlisted upstream only after it left a request unanswered

Callers saw open flows reset by a VM while their upstream served: a flow that paused for longer than 4 s was reset with its next request if the upstream's record was missing that long, as when the upstream doesn't reach the store.

Cause: TaggedRouter::resetReason took a missing record and the absence of progress for the end of an upstream. A flow that pauses makes no progress, so that only the missing record was left as evidence. Now the request is forwarded; if requests of the VM at the upstream wait for 300 ms, and for three times the mean latency of the service, without progress of any of its flows, the flow is reset, without a further packet of the caller where its requests are idempotent. The record must have been missing for lapse_grace (2.5 s) as before for retransmissions; the second timeout of 4 s is gone. flow_refused has waiting_ms.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -85,6 +85,7 @@
     if (reset.reason == TaggedRefusal::EndedUpstream) {
         event.fields.emplace_back("unlisted_ms", milliseconds(reset.sinceUnlisted));
         event.fields.emplace_back("since_progress_ms", milliseconds(reset.sinceProgress));
+        event.fields.emplace_back("waiting_ms", milliseconds(reset.waiting));
         event.fields.emplace_back("opened_here", reset.openedHere ? "yes" : "no");
     }
 }
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -58,9 +58,7 @@
     constexpr double bytesPerMegabit = 1e6 / 8;
     out.reader.listing.linkBandwidth = settings.linkMbps * bytesPerMegabit;
     out.routing.propagationDelay = out.reader.batchingDelay + settleMargin;
-    // A record that comes back late is read at the latest with the next up-to-date answer.
-    out.routing.unlistedTimeoutUnanswered = settings.lapseGrace;
-    out.routing.unlistedTimeout = settings.lapseGrace + out.reader.staleReadWindow;
+    out.routing.unlistedTimeout = settings.lapseGrace;
     out.drainBound = drainBound(settings.stopGrace);
     out.flowLogLinesPerSecond = settings.flowLogLinesPerSecond;
     out.seed = vmNumber(settings.vm).value ^ incarnation.value;
--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -5,8 +5,30 @@
 namespace boragelug
 {
 
+void recordRequest(PassiveHealth &health, const PassiveHealthSettings &settings, Duration meanLatency, TimePoint now)
+{
+    if (health.waitingSince == TimePoint {}) {
+        health.waitingSince = now;
+        health.answerTimeout = settings.minAnswerTimeout;
+    }
+    health.answerTimeout = std::max(health.answerTimeout, meanLatency * settings.meanLatenciesToAnswer);
+}
+
+void recordIdle(PassiveHealth &health)
+{
+    health.waitingSince = {};
+}
+
+bool isOverdue(const PassiveHealth &health, TimePoint now)
+{
+    return health.waitingSince != TimePoint {} && now - health.waitingSince >= health.answerTimeout;
+}
+
 void recordProgress(PassiveHealth &health, TimePoint now)
 {
+    if (health.waitingSince != TimePoint {}) {
+        health.waitingSince = now;
+    }
     health.lastProgressAt = now;
     health.consecutiveUnanswered = 0;
     health.consecutiveEjections = 0;
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -29,6 +29,10 @@
     /// When an active check of the upstream's address failed; the epoch if the last check succeeded or the upstream
     /// made progress since.
     TimePoint silentSince;
+    /// Since when requests are in progress without progress of any flow; the epoch if none is in progress.
+    TimePoint waitingSince;
+    /// Time after which the requests in progress are overdue.
+    Duration answerTimeout {};
 };
 
 /// Thresholds of passive health checks and outlier ejection.
@@ -57,8 +61,21 @@
     /// Flows of a silent upstream are reset only if another upstream of its zone made progress within this time;
     /// otherwise the network path to the zone may be impaired.
     Duration zoneProgressWindow = std::chrono::milliseconds(400);
+    /// A request is overdue after this time and after this many times the mean latency of its service's answers.
+    Duration minAnswerTimeout = std::chrono::milliseconds(300);
+    int meanLatenciesToAnswer = 3;
 };
 
+/// Records that a request began at the upstream, whose service answers in @p meanLatency.
+void recordRequest(PassiveHealth &health, const PassiveHealthSettings &settings, Duration meanLatency, TimePoint now);
+
+/// Records that no request is in progress at the upstream.
+void recordIdle(PassiveHealth &health);
+
+/// Whether requests at the upstream are overdue, and no flow made progress while they waited. Callers may be slow to
+/// acknowledge answers, so that this alone is no evidence that the upstream has ended.
+bool isOverdue(const PassiveHealth &health, TimePoint now);
+
 /// Records that a caller acknowledged new data of the upstream.
 void recordProgress(PassiveHealth &health, TimePoint now);
 
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -41,7 +41,10 @@
     flow.requestStartedAt = now;
     flow.upstream->busyFlows += 1;
     flow.service = flow.upstream->status.upstream.service;
-    flow.ticket = admission(flow.service).begin(flow.objective, now);
+    ServiceAdmission &service = admission(flow.service);
+    flow.ticket = service.begin(flow.objective, now);
+    const std::chrono::duration<double, Duration::period> meanLatency = flow.objective * service.meanLatencyRatio();
+    recordRequest(flow.upstream->health, settings_.health, std::chrono::duration_cast<Duration>(meanLatency), now);
 }
 
 void TaggedRouter::endRequest(Flow &flow, bool answered, TimePoint now)
@@ -51,6 +54,9 @@
     }
     flow.busy = false;
     flow.upstream->busyFlows -= 1;
+    if (flow.upstream->busyFlows == 0) {
+        recordIdle(flow.upstream->health);
+    }
     if (answered) {
         admission(flow.service).finish(flow.ticket, now);
     } else {
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -121,7 +121,6 @@
             upstream->addressReusedSince.reset();
         } else if (!upstream->addressReusedSince) {
             upstream->addressReusedSince = now;
-            silentUpstreams_.push_back(upstream);
         }
     }
 }
@@ -220,7 +219,7 @@
         }
     }
     const bool unanswered = track(packet, *entry, upstream, now);
-    const auto reset = options.viewIsFresh ? resetReason(packet, *entry, *upstream, unanswered, now) : std::nullopt;
+    const auto reset = options.viewIsFresh ? resetReason(packet, *entry, *upstream, now) : std::nullopt;
     if (reset) {
         return makeReset(*reset, packet, *upstream, now);
     }
@@ -240,6 +239,7 @@
         const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
         reset.sinceUnlisted = now - upstream.status.vanishedAt;
         reset.sinceProgress = now - upstream.health.lastProgressAt;
+        reset.waiting = now - upstream.health.waitingSince;
         reset.openedHere = flow != flows_.end() && flow->second.openedHere;
     }
     discardFlow(packet);
@@ -263,17 +263,12 @@
 std::optional<TaggedRefusal> TaggedRouter::resetReason(const FlowPacket &packet,
                                                        const DirectoryEntry &entry,
                                                        const TrackedUpstream &upstream,
-                                                       bool unanswered,
                                                        TimePoint now) const
 {
     if (packet.dataBytes == 0) {
         return std::nullopt;
     }
-    // Progress after the record vanished shows that the upstream is alive but doesn't reach the directory.
-    const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
-    const Duration timeout = unanswered ? settings_.unlistedTimeoutUnanswered : settings_.unlistedTimeout;
-    const bool isGone = upstream.status.listing == Listing::Gone && now - noProgressSince >= timeout;
-    if (isGone || hasLostAddress(upstream)) {
+    if (hasEnded(upstream, now) || hasLostAddress(upstream)) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -282,6 +277,15 @@
     return std::nullopt;
 }
 
+// An upstream that doesn't reach the directory is unlisted too, but goes on serving its flows. Flows that pause show
+// nothing of that, so that the next request is needed to find out.
+bool TaggedRouter::hasEnded(const TrackedUpstream &upstream, TimePoint now) const
+{
+    const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
+    return upstream.status.listing == Listing::Gone && now - noProgressSince >= settings_.unlistedTimeout
+        && isOverdue(upstream.health, now);
+}
+
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
 // reset requires an unanswered packet, an active check without a response, and progress of another upstream of the zone
 // since then.
@@ -319,21 +323,17 @@
         return;
     }
     boragelug::recordCheckResult(found->second->health, answered, earlyChecks_, now);
-    if (isSilent(found->second->health, settings_.health, now)) {
-        silentUpstreams_.push_back(found->second);
-    }
 }
 
 std::vector<SilentFlow> TaggedRouter::takeSilentFlows(TimePoint now)
 {
     std::vector<SilentFlow> silent;
     std::set<const TrackedUpstream *> confirmed;
-    std::erase_if(silentUpstreams_, [&](const auto &upstream) {
-        if (hasLostAddress(*upstream) || isConfirmedSilent(*upstream, now)) {
+    for (const auto &[id, upstream] : upstreams_) {
+        if (hasEnded(*upstream, now) || hasLostAddress(*upstream) || isConfirmedSilent(*upstream, now)) {
             confirmed.insert(upstream.get());
         }
-        return confirmed.contains(upstream.get()) || !isSilent(upstream->health, settings_.health, now);
-    });
+    }
     if (confirmed.empty()) {
         return silent;
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -41,15 +41,13 @@
     Duration minOpeningTime = std::chrono::milliseconds(20);
     /// Retention of flows that did not open or that have ended; callers abandon opening a flow after 1.4 s.
     Duration endedFlowRetention = std::chrono::seconds(2);
-    /// An unlisted upstream without progress on any flow for this long is considered exited. After an outage, records
-    /// are listed again within 2.5 s, and this VM receives them up to 1.5 s later.
-    Duration unlistedTimeout = std::chrono::milliseconds(4000);
+    /// An upstream that has been unlisted for this long and has an overdue request is considered exited. After an
+    /// outage, records are listed again within this time.
+    Duration unlistedTimeout = std::chrono::milliseconds(2500);
     /// A request without an answer for this long, and for longer than its latency objective, makes this VM check the
     /// upstream. Upstreams acknowledge requests before they answer them, so that callers of one that crashed meanwhile
     /// retransmit nothing.
     Duration stalledRequestTimeout = std::chrono::milliseconds(500);
-    /// Shorter timeout that applies to a retransmission that the upstream should have answered.
-    Duration unlistedTimeoutUnanswered = std::chrono::milliseconds(2500);
     /// Limit of flows with a record on this VM. Further flows are routed the same way, but contribute nothing to the
     /// load and health of upstreams.
     std::size_t maxTrackedFlows = 100'000;
@@ -64,7 +62,7 @@
     UnknownTag, ///< No upstream in the view has the packet's tag.
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
     SilentUpstream, ///< The flow's upstream no longer responds, and the entry's requests are idempotent.
-    EndedUpstream, ///< The flow's upstream is unlisted, and none of its flows makes progress.
+    EndedUpstream, ///< The flow's upstream is unlisted or has lost its address, and leaves requests unanswered.
     ConcurrencyLimit, ///< The request timed out in the queue for its service, and was not sent to any upstream.
     OutdatedSyn, ///< The SYN waited in the socket of a suspended process.
     UnplacedCopy, ///< The packet is a copy of a SYN that another VM may have placed.
@@ -104,10 +102,11 @@
     TaggedRefusal reason = TaggedRefusal::UnknownEntry;
     /// The upstream of the flow so far; 0 if it had none.
     UpstreamId upstream;
-    /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, and
-    /// whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream only.
+    /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, for
+    /// how long requests wait there, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream only.
     Duration sinceUnlisted {};
     Duration sinceProgress {};
+    Duration waiting {};
     bool openedHere = false;
 };
 
@@ -176,7 +175,7 @@
     Endpoint address;
 };
 
-/// A flow that is reset because its upstream fell silent.
+/// A flow that is reset because its upstream fell silent or has ended.
 struct SilentFlow
 {
     /// Caller, entry and acknowledged sequence number of the flow, from which the reset is made.
@@ -238,8 +237,8 @@
     /// Records the result of a health check. @p answered is false only if nothing at all came back in time.
     void recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now);
 
-    /// Flows of silent upstreams that have to be reset, so that their callers need not retransmit until then. To be
-    /// called after recordCheckResult() and each tick.
+    /// Flows of silent and ended upstreams that have to be reset, so that their callers need not retransmit until then.
+    /// To be called after recordCheckResult() and each tick.
     std::vector<SilentFlow> takeSilentFlows(TimePoint now);
 
     /// Upstreams that have flows on this VM or are ejected.
@@ -348,8 +347,8 @@
     std::optional<TaggedRefusal> resetReason(const FlowPacket &packet,
                                              const DirectoryEntry &entry,
                                              const TrackedUpstream &upstream,
-                                             bool unanswered,
                                              TimePoint now) const;
+    bool hasEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
     ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
@@ -379,8 +378,6 @@
     std::deque<Opening> openings_;
     /// Mean time from the SYN of a flow to the packet that opens it.
     Duration meanOpeningTime_ {};
-    /// Upstreams whose last check failed or whose address is used again, and whose flows were not reset yet.
-    std::vector<std::shared_ptr<TrackedUpstream>> silentUpstreams_;
     TimePoint nextSweep_;
     TaggedCounters counters_;
 };
