Keep the flows of an upstream that serves despite a later record at its address

Callers saw all flows at a live upstream reset at once, and no new flow reached it, when a record of another upstream of a known service named its address: one written late, after the address was assigned again, or by another writer.

Cause: the address counted as lost to the record that the VM read last, until a flow progressed. Now a record at the address only decides which upstream is preferred for new flows. Progress decides which one has the address, also against the later record, and flows are reset only once the upstream leaves requests unanswered. Removed records no longer contest an address.

KeepsAnUpstreamInUseDespiteALaterRecordAtItsAddress guards against it.

Replaced, as it asserted the reset by the record alone: ResetsFlowsOfAnUpstreamWhoseAddressIsUsedAgain expects it once the request is overdue.

--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -103,7 +103,8 @@
     candidate.propagating =
         upstream.status.knownSince != TimePoint {} && now - upstream.status.knownSince < settings_.propagationDelay;
     candidate.suspect = isSuspect(upstream.health, settings_.health, now);
-    candidate.ejected = isEjected(upstream.health, now) || isSilent(upstream.health, settings_.health, now);
+    candidate.ejected =
+        isEjected(upstream.health, now) || isSilent(upstream.health, settings_.health, now) || hasLostAddress(upstream);
     return candidate;
 }
 
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -74,9 +74,9 @@
         }
     }
     upstreams_ = std::move(upstreams);
-    markReusedAddresses(now);
+    markContestedAddresses(now);
     for (const auto &[key, upstream] : upstreams_) {
-        if (mayTakeFlows(upstream->status) && !hasLostAddress(*upstream)) {
+        if (mayTakeFlows(upstream->status)) {
             placeable_[upstream->status.upstream.service].push_back(upstream);
         }
     }
@@ -103,32 +103,50 @@
 
 // The record of an upstream that crashed stays listed for some seconds, and its address answers active checks once
 // another upstream has it.
-void TaggedRouter::markReusedAddresses(TimePoint now)
+void TaggedRouter::markContestedAddresses(TimePoint now)
 {
     // Upstreams of the first listing have no time; their incarnations are start times.
     const auto order = [](const DirectoryUpstream &status) {
         return std::pair(status.knownSince, status.upstream.incarnation);
     };
-    absl::flat_hash_map<Endpoint, std::shared_ptr<TrackedUpstream>> latest;
+    absl::flat_hash_map<Endpoint, std::vector<std::shared_ptr<TrackedUpstream>>> listed;
     for (const auto &[id, upstream] : upstreams_) {
-        auto &current = latest[upstream->status.upstream.tunnelEndpoint];
-        if (!current || order(current->status) < order(upstream->status)) {
-            current = upstream;
+        if (upstream->status.listing != Listing::Gone) {
+            listed[upstream->status.upstream.tunnelEndpoint].push_back(upstream);
         }
     }
     for (const auto &[id, upstream] : upstreams_) {
-        if (latest.at(upstream->status.upstream.tunnelEndpoint) == upstream) {
-            upstream->addressReusedSince.reset();
-        } else if (!upstream->addressReusedSince) {
-            upstream->addressReusedSince = now;
+        upstream->rivals.clear();
+        upstream->isLatestAtAddress = true;
+        for (const auto &other : listed[upstream->status.upstream.tunnelEndpoint]) {
+            if (other != upstream) {
+                upstream->rivals.push_back(other);
+                upstream->isLatestAtAddress =
+                    upstream->isLatestAtAddress && order(other->status) < order(upstream->status);
+            }
+        }
+        if (upstream->rivals.empty()) {
+            upstream->contestedSince = {};
+        } else if (upstream->contestedSince == TimePoint {}) {
+            upstream->contestedSince = now;
         }
     }
 }
 
-// Progress after another upstream was listed at the address shows that the record of that one is wrong.
+// A record may be written late or by another writer, so that progress decides which upstream has the address: the one
+// that made progress last, or the one that was listed last as long as none did.
 bool TaggedRouter::hasLostAddress(const TrackedUpstream &upstream)
 {
-    return upstream.addressReusedSince && upstream.health.lastProgressAt <= *upstream.addressReusedSince;
+    TimePoint lastRivalProgress = upstream.contestedSince;
+    for (const auto &candidate : upstream.rivals) {
+        if (const auto rival = candidate.lock()) {
+            lastRivalProgress = std::max(lastRivalProgress, rival->health.lastProgressAt);
+        }
+    }
+    if (upstream.health.lastProgressAt > lastRivalProgress) {
+        return false;
+    }
+    return !upstream.isLatestAtAddress || lastRivalProgress > upstream.contestedSince;
 }
 
 const DirectoryEntry *TaggedRouter::findEntry(const Endpoint &address) const
@@ -268,7 +286,7 @@
     if (packet.dataBytes == 0) {
         return std::nullopt;
     }
-    if (hasEnded(upstream, now) || hasLostAddress(upstream)) {
+    if (hasEnded(upstream, now)) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -282,8 +300,9 @@
 bool TaggedRouter::hasEnded(const TrackedUpstream &upstream, TimePoint now) const
 {
     const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
-    return upstream.status.listing == Listing::Gone && now - noProgressSince >= settings_.unlistedTimeout
-        && isOverdue(upstream.health, now);
+    const bool isUnlisted =
+        upstream.status.listing == Listing::Gone && now - noProgressSince >= settings_.unlistedTimeout;
+    return (isUnlisted || hasLostAddress(upstream)) && isOverdue(upstream.health, now);
 }
 
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
@@ -330,7 +349,7 @@
     std::vector<SilentFlow> silent;
     std::set<const TrackedUpstream *> confirmed;
     for (const auto &[id, upstream] : upstreams_) {
-        if (hasEnded(*upstream, now) || hasLostAddress(*upstream) || isConfirmedSilent(*upstream, now)) {
+        if (hasEnded(*upstream, now) || isConfirmedSilent(*upstream, now)) {
             confirmed.insert(upstream.get());
         }
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -253,8 +253,11 @@
         DirectoryUpstream status;
         FlowTag tag;
         PassiveHealth health;
-        /// Since when another upstream, which was listed later, has the address.
-        std::optional<TimePoint> addressReusedSince;
+        /// Other listed upstreams with the same address, and since when there are any.
+        std::vector<std::weak_ptr<TrackedUpstream>> rivals;
+        TimePoint contestedSince;
+        /// The upstream was listed after its rivals.
+        bool isLatestAtAddress = true;
         std::uint32_t openFlows = 0;
         std::uint32_t busyFlows = 0;
         bool reportedEjected = false;
@@ -296,8 +299,8 @@
         TimePoint placedAt;
     };
 
-    void markReusedAddresses(TimePoint now);
-    /// Whether the upstream has ended, as another one has its address.
+    void markContestedAddresses(TimePoint now);
+    /// Whether one of the upstream's rivals seems to have the address now.
     static bool hasLostAddress(const TrackedUpstream &upstream);
     void checkStalledRequest(const Endpoint &address, Flow &flow, TimePoint now);
     /// Requests checks of the upstreams that leave the SYN of a flow unanswered.
@@ -348,6 +351,7 @@
                                              const DirectoryEntry &entry,
                                              const TrackedUpstream &upstream,
                                              TimePoint now) const;
+    /// Whether the upstream is unlisted or has lost its address, and leaves requests unanswered.
     bool hasEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -481,9 +481,13 @@
     successor.upstream.tunnelEndpoint = upstream(1, ledger, home).upstream.tunnelEndpoint;
     successor.knownSince = now;
     setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home), successor });
+    EXPECT_TRUE(router.takeSilentFlows(now).empty()) << "the request may be answered";
+    now += PassiveHealthSettings {}.minAnswerTimeout;
     const auto silent = router.takeSilentFlows(now);
     ASSERT_EQ(silent.size(), 1U);
     EXPECT_EQ(silent.front().upstream, UpstreamId { 1 });
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+    now += PassiveHealthSettings {}.minAnswerTimeout;
     const auto decision = router.route(data(syn(1, 2), tag, 0, 1), { .viewIsFresh = true }, now);
     ASSERT_TRUE(std::holds_alternative<ResetFlow>(decision));
     EXPECT_EQ(std::get<ResetFlow>(decision).reason, TaggedRefusal::EndedUpstream);
@@ -512,6 +516,34 @@
     EXPECT_TRUE(route(data(opening, tag, 100, 500)));
 }
 
+// A record that is written late, or by another writer, may name the address of an upstream that serves. It must neither
+// end flows of the upstream that pause, nor keep new ones from it once it answers.
+TEST_F(TaggedRouterTest, KeepsAnUpstreamInUseDespiteALaterRecordAtItsAddress)
+{
+    setUpstreams({ upstream(1, ledger, home) });
+    const FlowPacket opening = syn(1, 1);
+    const FlowTag tag = route(opening)->tag;
+    EXPECT_TRUE(route(data(opening, tag, 0, 1)));
+    FlowPacket answered = data(opening, tag, 100, 500);
+    answered.dataBytes = 0;
+    EXPECT_TRUE(route(answered));
+    now += 3s;
+    auto other = upstream(9, ledger, home, 7);
+    other.upstream.tunnelEndpoint = upstream(1, ledger, home).upstream.tunnelEndpoint;
+    other.knownSince = now;
+    setUpstreams({ upstream(1, ledger, home), other });
+    now += 3s;
+    EXPECT_TRUE(router.takeSilentFlows(now).empty());
+    EXPECT_TRUE(route(data(opening, tag, 100, 500)));
+    now += 50ms;
+    answered = data(opening, tag, 200, 1000);
+    answered.dataBytes = 0;
+    EXPECT_TRUE(route(answered));
+    for (std::uint16_t port = 10; port < 40; ++port) {
+        EXPECT_EQ(route(syn(1, port))->upstream, UpstreamId { 1 });
+    }
+}
+
 // A restart under the same id keeps the address; the host itself ends flows of its former incarnation.
 TEST_F(TaggedRouterTest, KeepsFlowsOfARestartedUpstream)
 {
