Reset flows of a silent upstream only if a request is overdue

Callers of an upstream that answers them, but not the TCP connections of active checks, saw all their flows reset, idle ones too.

Cause: a SYN without an answer for 20 ms starts a check, and its failure, 160 ms later, together with progress of another upstream of the zone counted as silence. No packet of a caller had to be unanswered, although the comment said so, and an upstream that has few flows on a VM often makes no progress in 160 ms. Now a request must also be overdue: without progress of the upstream for 300 ms and for three times the mean latency of its service.

--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -306,11 +306,11 @@
 }
 
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
-// reset requires an unanswered packet, an active check without a response, and progress of another upstream of the zone
+// reset requires an overdue request, an active check without a response, and progress of another upstream of the zone
 // since then.
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
-    if (!isSilent(upstream.health, settings_.health, now)) {
+    if (!isSilent(upstream.health, settings_.health, now) || !isOverdue(upstream.health, now)) {
         return false;
     }
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto &other) {
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -590,6 +590,27 @@
     EXPECT_FALSE(isReset(data(syn(1, 1), tagOf(1), 0, 1))) << "the progress of the other upstream is too old";
 }
 
+// An upstream that ignores the connections of checks, but answers its callers, must keep its flows.
+TEST_F(TaggedRouterTest, KeepsFlowsOfAnUpstreamThatIgnoresChecks)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowTag tag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
+    std::uint16_t port = 10;
+    while (route(syn(1, port))->upstream != UpstreamId { 1 }) {
+        ++port;
+    }
+    now += 50ms;
+    router.tick(now);
+    ASSERT_GE(checkUpstreams(false), 1U) << "the upstream is slow to open a flow";
+    now += 10ms;
+    for (const std::uint32_t acknowledged : { 1U, 100U }) {
+        route(data(syn(9, 9), flowTagOf(UpstreamId { 2 }, Incarnation { 1 }), acknowledged, acknowledged));
+    }
+    EXPECT_TRUE(router.takeSilentFlows(now).empty());
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+}
+
 // An upstream that answered a flow while it was checked must not be treated as silent.
 TEST_F(SilentUpstreamTest, WithholdsTheResetAfterProgress)
 {
