Reset a flow of an unlisted upstream only for its own overdue request

A flow that moves to another VM with a request in progress, as when VMs are added, seems to wait at the first VM until its record expires.

For a missing record or a contested address, only the flow's own request counts now, and only its next packet is answered by a reset.

--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -257,7 +257,7 @@
         const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
         reset.sinceUnlisted = now - upstream.status.vanishedAt;
         reset.sinceProgress = now - upstream.health.lastProgressAt;
-        reset.waiting = now - upstream.health.waitingSince;
+        reset.waiting = flow != flows_.end() ? now - flow->second.requestStartedAt : Duration::zero();
         reset.openedHere = flow != flows_.end() && flow->second.openedHere;
     }
     discardFlow(packet);
@@ -286,7 +286,7 @@
     if (packet.dataBytes == 0) {
         return std::nullopt;
     }
-    if (hasEnded(upstream, now)) {
+    if (hasEnded(upstream, now) && isOverdue(packet, upstream, now)) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -296,13 +296,21 @@
 }
 
 // An upstream that doesn't reach the directory is unlisted too, but goes on serving its flows. Flows that pause show
-// nothing of that, so that the next request is needed to find out.
+// nothing of that, so that their next request is needed to find out. Flows that moved to another VM seem to wait here
+// though they are served there, so that only a packet of the flow counts.
+bool TaggedRouter::isOverdue(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const
+{
+    const auto found = flows_.find(FlowId { packet.caller, packet.entry });
+    return found != flows_.end() && found->second.busy
+        && now - found->second.requestStartedAt >= upstream.health.answerTimeout;
+}
+
 bool TaggedRouter::hasEnded(const TrackedUpstream &upstream, TimePoint now) const
 {
     const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
     const bool isUnlisted =
         upstream.status.listing == Listing::Gone && now - noProgressSince >= settings_.unlistedTimeout;
-    return (isUnlisted || hasLostAddress(upstream)) && isOverdue(upstream.health, now);
+    return isUnlisted || hasLostAddress(upstream);
 }
 
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
@@ -310,7 +318,7 @@
 // since then.
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
-    if (!isSilent(upstream.health, settings_.health, now) || !isOverdue(upstream.health, now)) {
+    if (!isSilent(upstream.health, settings_.health, now) || !boragelug::isOverdue(upstream.health, now)) {
         return false;
     }
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto &other) {
@@ -349,7 +357,7 @@
     std::vector<SilentFlow> silent;
     std::set<const TrackedUpstream *> confirmed;
     for (const auto &[id, upstream] : upstreams_) {
-        if (hasEnded(*upstream, now) || isConfirmedSilent(*upstream, now)) {
+        if (isConfirmedSilent(*upstream, now)) {
             confirmed.insert(upstream.get());
         }
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -103,7 +103,8 @@
     /// The upstream of the flow so far; 0 if it had none.
     UpstreamId upstream;
     /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, for
-    /// how long requests wait there, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream only.
+    /// how long the flow's request waits, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream
+    /// only.
     Duration sinceUnlisted {};
     Duration sinceProgress {};
     Duration waiting {};
@@ -175,7 +176,7 @@
     Endpoint address;
 };
 
-/// A flow that is reset because its upstream fell silent or has ended.
+/// A flow that is reset because its upstream fell silent.
 struct SilentFlow
 {
     /// Caller, entry and acknowledged sequence number of the flow, from which the reset is made.
@@ -237,8 +238,8 @@
     /// Records the result of a health check. @p answered is false only if nothing at all came back in time.
     void recordCheckResult(const UpstreamCheck &check, bool answered, TimePoint now);
 
-    /// Flows of silent and ended upstreams that have to be reset, so that their callers need not retransmit until then.
-    /// To be called after recordCheckResult() and each tick.
+    /// Flows of silent upstreams that have to be reset, so that their callers need not retransmit until then. To be
+    /// called after recordCheckResult() and each tick.
     std::vector<SilentFlow> takeSilentFlows(TimePoint now);
 
     /// Upstreams that have flows on this VM or are ejected.
@@ -351,7 +352,9 @@
                                              const DirectoryEntry &entry,
                                              const TrackedUpstream &upstream,
                                              TimePoint now) const;
-    /// Whether the upstream is unlisted or has lost its address, and leaves requests unanswered.
+    /// Whether the request of the flow that @p packet belongs to waits for too long.
+    bool isOverdue(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const;
+    /// Whether the upstream may have ended: it is unlisted or has lost its address, and none of its flows progresses.
     bool hasEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
