Count the first request of a flow only at the VM that forwards it

Cause: while VMs started, the first request went through another VM than the SYN and the acknowledgement of its answer. The VM of the SYN counts the request from there, saw no data and no later acknowledgement, and took the next request, after a pause, for the overdue first one. Told from the log and the code: only the acknowledgement can be the progress 1 ms after the SYN, and only a request that was never ended keeps its start. Now the request ends if the packet that opens the flow isn't its first, which also corrects the load that placement sees, and a flow is overdue by the age of its last new data.

--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -102,6 +102,10 @@
         meanOpeningTime_ += (std::min(now - flow.synSentAt, maxOpeningSample) - meanOpeningTime_) / openingSmoothing;
         flow.acknowledged = packet.acknowledged;
         recordProgress(upstream->health, now);
+        // Another VM forwarded the first request, and may have seen its answer.
+        if (packet.sequence != flow.synSequence + 1) {
+            endRequest(flow, false, now);
+        }
     }
     const bool unanswered = trackData(packet, flow, now);
     if (packet.fin || packet.reset) {
@@ -127,6 +131,7 @@
     const std::uint32_t end = packet.sequence + packet.dataBytes;
     if (isAfter(end, flow.nextSequence)) {
         flow.nextSequence = end;
+        flow.lastNewDataAt = now;
         if (flow.phase != FlowPhase::Ended) {
             beginRequest(flow, now);
         }
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -168,6 +168,7 @@
         flow.nextSequence = packet.sequence + 1;
         flow.lastPacket = now;
         flow.synSentAt = now;
+        flow.lastNewDataAt = now;
         flow.objective = entry.latencyObjective;
         assignUpstream(flow, upstream);
         openings_.push_back({ .flow = id, .synSequence = packet.sequence, .placedAt = now });
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -257,7 +257,7 @@
         const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
         reset.sinceUnlisted = now - upstream.status.vanishedAt;
         reset.sinceProgress = now - upstream.health.lastProgressAt;
-        reset.waiting = flow != flows_.end() ? now - flow->second.requestStartedAt : Duration::zero();
+        reset.waiting = flow != flows_.end() ? now - flow->second.lastNewDataAt : Duration::zero();
         reset.openedHere = flow != flows_.end() && flow->second.openedHere;
     }
     discardFlow(packet);
@@ -302,7 +302,7 @@
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
     return found != flows_.end() && found->second.busy
-        && now - found->second.requestStartedAt >= upstream.health.answerTimeout;
+        && now - found->second.lastNewDataAt >= upstream.health.answerTimeout;
 }
 
 bool TaggedRouter::hasEnded(const TrackedUpstream &upstream, TimePoint now) const
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -103,7 +103,7 @@
     /// The upstream of the flow so far; 0 if it had none.
     UpstreamId upstream;
     /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, for
-    /// how long the flow's request waits, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream
+    /// how long the flow's last data waits, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream
     /// only.
     Duration sinceUnlisted {};
     Duration sinceProgress {};
@@ -281,6 +281,8 @@
         ServiceAdmission::Ticket ticket = 0;
         Duration objective {};
         TimePoint requestStartedAt;
+        /// When this VM forwarded the SYN or data that it had not seen before.
+        TimePoint lastNewDataAt;
         std::uint32_t synSequence = 0;
         std::uint32_t nextSequence = 0;
         std::uint32_t acknowledged = 0;
--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -119,6 +119,25 @@
     EXPECT_TRUE(route(data(syn(1, 1), tag, 100, 500))) << "the next request of the flow that returned";
 }
 
+// The first request of a flow may pass through another VM than the SYN and the packets after it. The VM of the SYN must
+// not take that request for one in progress when the flow sends the next one.
+TEST_F(TaggedRouterTest, KeepsAFlowWhoseFirstRequestPassedThroughAnotherVm)
+{
+    auto serving = upstream(3, ledger, home);
+    setUpstreams({ serving });
+    const FlowPacket opening = syn(1, 1);
+    const FlowTag tag = route(opening)->tag;
+    FlowPacket answered = data(opening, tag, 100, 500);
+    answered.dataBytes = 0;
+    EXPECT_TRUE(route(answered));
+    serving.listing = Listing::Gone;
+    serving.vanishedAt = now;
+    setUpstreams({ serving });
+    now += 5s;
+    EXPECT_TRUE(route(data(opening, tag, 100, 500)));
+    EXPECT_EQ(router.usage().front().busyFlows, 1U);
+}
+
 // Records that lapsed during an outage are listed again some time after it.
 TEST_F(TaggedRouterTest, KeepsFlowsUntilRecordsHadTimeToReturn)
 {
