--- a/tests/routing/tagged_router_test.cpp
+++ b/tests/routing/tagged_router_test.cpp
@@ -630,6 +630,24 @@
     EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
 }
 
+// A flow that moved to another VM with a request in progress seems to wait here. An upstream that serves, but ignores
+// the check that follows, must keep this flow and others.
+TEST_F(TaggedRouterTest, KeepsFlowsOfAnUpstreamThatIgnoresChecksAfterAFlowMovedAway)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) });
+    const FlowTag tag = flowTagOf(UpstreamId { 1 }, Incarnation { 1 });
+    EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
+    now += TaggedRouterSettings {}.stalledRequestTimeout;
+    router.tick(now);
+    ASSERT_EQ(checkUpstreams(false), 1U);
+    now += 10ms;
+    for (const std::uint32_t acknowledged : { 1U, 100U }) {
+        route(data(syn(9, 9), flowTagOf(UpstreamId { 2 }, Incarnation { 1 }), acknowledged, acknowledged));
+    }
+    EXPECT_TRUE(router.takeSilentFlows(now).empty());
+    EXPECT_TRUE(route(data(syn(1, 2), tag, 0, 1)));
+}
+
 // An upstream that answered a flow while it was checked must not be treated as silent.
 TEST_F(SilentUpstreamTest, WithholdsTheResetAfterProgress)
 {
