Tell apart the functions that judge whether requests wait

Cause: TaggedRouter::hasEnded said that an upstream may have ended, and two functions isOverdue meant a flow's request and an upstream's requests. Change: they are mayHaveEnded, hasOverdueRequest and isLeftWaiting; the comment of the last says why it is no evidence by itself.

--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -19,7 +19,7 @@
     health.waitingSince = {};
 }
 
-bool isOverdue(const PassiveHealth &health, TimePoint now)
+bool isLeftWaiting(const PassiveHealth &health, TimePoint now)
 {
     return health.waitingSince != TimePoint {} && now - health.waitingSince >= health.answerTimeout;
 }
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -72,9 +72,9 @@
 /// Records that no request is in progress at the upstream.
 void recordIdle(PassiveHealth &health);
 
-/// Whether requests at the upstream are overdue, and no flow made progress while they waited. Callers may be slow to
-/// acknowledge answers, so that this alone is no evidence that the upstream has ended.
-bool isOverdue(const PassiveHealth &health, TimePoint now);
+/// Whether requests at the upstream are overdue, and no flow made progress while they waited. Flows that moved to
+/// another VM seem to wait, so that this alone is no evidence that the upstream is silent.
+bool isLeftWaiting(const PassiveHealth &health, TimePoint now);
 
 /// Records that a caller acknowledged new data of the upstream.
 void recordProgress(PassiveHealth &health, TimePoint now);
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -286,7 +286,7 @@
     if (packet.dataBytes == 0) {
         return std::nullopt;
     }
-    if (hasEnded(upstream, now) && isOverdue(packet, upstream, now)) {
+    if (mayHaveEnded(upstream, now) && hasOverdueRequest(packet, upstream, now)) {
         return TaggedRefusal::EndedUpstream;
     }
     if (entry.idempotent && isConfirmedSilent(upstream, now)) {
@@ -298,14 +298,14 @@
 // An upstream that doesn't reach the directory is unlisted too, but goes on serving its flows. Flows that pause show
 // nothing of that, so that their next request is needed to find out. Flows that moved to another VM seem to wait here
 // though they are served there, so that only a packet of the flow counts.
-bool TaggedRouter::isOverdue(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const
+bool TaggedRouter::hasOverdueRequest(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
     return found != flows_.end() && found->second.busy
         && now - found->second.lastNewDataAt >= upstream.health.answerTimeout;
 }
 
-bool TaggedRouter::hasEnded(const TrackedUpstream &upstream, TimePoint now) const
+bool TaggedRouter::mayHaveEnded(const TrackedUpstream &upstream, TimePoint now) const
 {
     const TimePoint noProgressSince = std::max(upstream.status.vanishedAt, upstream.health.lastProgressAt);
     const bool isUnlisted =
@@ -319,7 +319,7 @@
 // retransmits nothing here.
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
-    if (!isSilent(upstream.health, settings_.health, now) || !boragelug::isOverdue(upstream.health, now)
+    if (!isSilent(upstream.health, settings_.health, now) || !isLeftWaiting(upstream.health, now)
         || !isSuspect(upstream.health, settings_.health, now)) {
         return false;
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -355,9 +355,9 @@
                                              const TrackedUpstream &upstream,
                                              TimePoint now) const;
     /// Whether the request of the flow that @p packet belongs to waits for too long.
-    bool isOverdue(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const;
+    bool hasOverdueRequest(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const;
     /// Whether the upstream may have ended: it is unlisted or has lost its address, and none of its flows progresses.
-    bool hasEnded(const TrackedUpstream &upstream, TimePoint now) const;
+    bool mayHaveEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
     ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
