Cut single paths in the soak: VM to store, VM to upstream, upstream to callers

Cause: the soak had no VM that is cut off from the store alone, no upstream that one VM can't reach, and none that answers checks and no callers. Change: the mix `paths` has these, beside planned work and the faults of `reachability`. The stand-in of the store listens on an address for each VM, which can be cut off.

A disturbance that ends later is no longer shortened by the next one.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -27,6 +27,9 @@
 constexpr std::array<FaultTarget, 4> reachabilityTargets {
     FaultTarget::PlannedVm, FaultTarget::Reachability, FaultTarget::Reachability, FaultTarget::Upstream
 };
+constexpr std::array<FaultTarget, 4> pathTargets {
+    FaultTarget::PlannedVm, FaultTarget::Path, FaultTarget::Path, FaultTarget::Reachability
+};
 
 std::span<const FaultTarget> targetsOf(FaultMix mix)
 {
@@ -41,6 +44,8 @@
         return recordTargets;
     case FaultMix::Reachability:
         return reachabilityTargets;
+    case FaultMix::Paths:
+        return pathTargets;
     }
     return targets;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -19,7 +19,8 @@
     PlannedVm, ///< A VM's process is stopped by SIGTERM and started again, or its settings are reloaded.
     Lifetime, ///< An upstream starts again under its id, or its record is replaced by a late or foreign one.
     Answers, ///< Some upstreams answer late.
-    Reachability ///< A running upstream loses its record, or can't be reached by some of its peers.
+    Reachability, ///< A running upstream loses its record, ignores checks, or another record names its address.
+    Path ///< Packets of a VM to the store or an upstream, or of an upstream to callers, are lost.
 };
 
 /// Which faults a plan consists of.
@@ -28,7 +29,8 @@
     Planned, ///< Planned work on VMs, upstreams and the catalogue.
     LateAnswers, ///< Planned work while upstreams answer late.
     Records, ///< Planned work while upstreams start again under their ids, and odd records are written.
-    Reachability ///< Planned work while upstreams are cut off from the store, from checks or from single VMs.
+    Reachability, ///< Planned work while upstreams are cut off from the store or from checks.
+    Paths ///< The same, and single paths between VMs, upstreams, callers and the store are cut.
 };
 
 /// One fault of a plan. What exactly happens is drawn from the fault's own seed, so that it doesn't depend on the
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -3,6 +3,7 @@
 #include "core/time_point.h"
 #include "model/endpoint.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -56,10 +57,16 @@
         : start_(start)
     { }
 
-    /// Records that a fault affects the VM with number @p vm.
-    void recordVmDisturbance(std::size_t vm, TimePoint now) { lastVmDisturbance_[vm] = now; }
-    /// Records that a fault affects the upstream with id @p upstream.
-    void recordUpstreamDisturbance(std::uint64_t upstream, TimePoint now) { lastUpstreamDisturbance_[upstream] = now; }
+    /// Records that a fault affects the VM with number @p vm until @p end, which may be in the future.
+    void recordVmDisturbance(std::size_t vm, TimePoint end)
+    {
+        lastVmDisturbance_[vm] = std::max(lastVmDisturbance_[vm], end);
+    }
+    /// Records that a fault affects the upstream with id @p upstream until @p end, which may be in the future.
+    void recordUpstreamDisturbance(std::uint64_t upstream, TimePoint end)
+    {
+        lastUpstreamDisturbance_[upstream] = std::max(lastUpstreamDisturbance_[upstream], end);
+    }
     /// Records that a fault affects the configuration store.
     void recordStoreDisturbance(TimePoint now) { lastStoreDisturbance_ = now; }
 
@@ -93,7 +100,8 @@
     /// Checks a reset that the load balancer sent to a caller: it must not end an open flow of a running upstream.
     void checkLoadBalancerReset(const FlowEndpoints &flow, TimePoint now);
 
-    /// Checks a reset that @p upstream sent to a caller: the flow must not be open at another running upstream.
+    /// Checks a reset that @p upstream sent to a caller: the flow must not be open at another running upstream, unless
+    /// one of the two was disturbed within Bounds::undisturbedTime.
     void checkUpstreamReset(const FlowEndpoints &flow, std::uint64_t upstream, TimePoint now);
 
     /// Records a violation; ignored if @p invariant was already violated.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -29,7 +29,7 @@
   -v, --vms=N            VMs (6)
   -w, --network=N        second number of the loopback addresses, 16 to 240 (77)
   -m, --mix=NAME         which faults: unplanned, planned, late-answers, records,
-                         reachability (unplanned)
+                         reachability, paths (unplanned)
   -u, --upstreams=N      upstreams (10)
   -f, --flows=N          flows of each of the 8 callers (12)
   -b, --sabotage=NAME    breaks a stand-in: bytes, withhold, reset, service, deaf; the run has to find it
@@ -69,7 +69,8 @@
                                  { "planned", FaultMix::Planned },
                                  { "late-answers", FaultMix::LateAnswers },
                                  { "records", FaultMix::Records },
-                                 { "reachability", FaultMix::Reachability } },
+                                 { "reachability", FaultMix::Reachability },
+                                 { "paths", FaultMix::Paths } },
                                name);
 }
 
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -276,6 +276,14 @@
     runAfter(length, [this, key = hostKey(record.id)] { store_->remove(key); });
 }
 
+void SoakSimulation::cutOffFromStore(std::size_t vm, Duration length)
+{
+    const auto endpoint = toTcpEndpoint(vms_[vm].store);
+    store_->setCutOff(endpoint, true);
+    invariants_.recordVmDisturbance(vm + 1, now() + length);
+    runAfter(length, [this, endpoint] { store_->setCutOff(endpoint, false); });
+}
+
 // The upstream serves its flows all the time, so that none of these faults excuses a reset.
 void SoakSimulation::injectReachabilityFault(Random &random)
 {
@@ -311,6 +319,31 @@
     }
 }
 
+// The upstream keeps its flows, and its checks are answered. Packets that are lost on its own links excuse a reset, a
+// VM that doesn't reach the store doesn't.
+void SoakSimulation::injectPathFault(Random &random)
+{
+    SimulatedUpstream &upstream = **std::next(upstreams_.begin(), static_cast<long>(random.below(upstreams_.size())));
+    const std::uint64_t id = upstream.id();
+    const std::string name = "upstream " + std::to_string(id);
+    const std::size_t vm = random.below(vms_.size());
+    const auto length = std::chrono::milliseconds(3000 + random.below(7000));
+    const std::string duration = " for " + std::to_string(length.count()) + " ms";
+    const std::uint64_t kind = random.below(3);
+    if (kind == 0) {
+        recordFault("packets of " + name + " to callers are lost" + duration);
+        muteUntil_[id] = now() + length;
+        invariants_.recordUpstreamDisturbance(id, now() + length);
+    } else if (kind == 1) {
+        recordFault("packets of " + vms_[vm].process->name() + " to " + name + " are lost" + duration);
+        cutPairs_[{ vm + 1, id }] = now() + length;
+        invariants_.recordUpstreamDisturbance(id, now() + length);
+    } else {
+        recordFault("cut " + vms_[vm].process->name() + " off from the store" + duration);
+        cutOffFromStore(vm, length);
+    }
+}
+
 void SoakSimulation::inject(const PlannedFault &fault)
 {
     Random random(fault.seed);
@@ -345,6 +378,9 @@
     case FaultTarget::Reachability:
         injectReachabilityFault(random);
         return;
+    case FaultTarget::Path:
+        injectPathFault(random);
+        return;
     }
 }
 
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint8_t vmGroup = 10;
 constexpr std::uint8_t callerGroup = 20;
 constexpr std::uint8_t storeGroup = 30;
+constexpr std::size_t firstStoreOfVms = 10; // Last octet of the store's address for the first VM.
 constexpr std::uint8_t upstreamGroup = 40;
 constexpr std::uint8_t entryGroup = 50;
 // As on the platform: two readiness checks a second, out of rotation after two consecutive failures, delayed restart.
@@ -42,6 +43,7 @@
     case FaultMix::Unplanned:
         return 0;
     case FaultMix::Reachability:
+    case FaultMix::Paths:
         return frequentLongPauseChance;
     default:
         return longPauseChance;
@@ -74,6 +76,8 @@
         vm.packet = makeEndpoint(vmGroup, i + 1, packetPort.value);
         vm.admin = makeEndpoint(vmGroup, i + 1, adminPort);
         vm.relay = makeEndpoint(vmGroup, i + 1, relayPort);
+        vm.store = makeEndpoint(storeGroup, firstStoreOfVms + i, storePort);
+        store_->addEndpoint(toTcpEndpoint(vm.store));
         writeSettings(vm);
         vm.process->start(now());
         vms_.push_back(std::move(vm));
@@ -120,9 +124,8 @@
     std::ofstream(vm.process->settingsPath())
         << "vm: " << vm.process->name() << "\nzone: kgd-north\nendpoints:\n  packet: " << toString(vm.packet)
         << "\n  admin: " << toString(vm.admin) << "\n  relay: " << toString(vm.relay)
-        << "\ndirectory: " << toString(makeEndpoint(storeGroup, 1, storePort)) << "\nrelays: ["
-        << toString(makeEndpoint(vmGroup, 1, relayPort)) << ", " << toString(makeEndpoint(vmGroup, 2, relayPort))
-        << "]\nlog_level: debug\n";
+        << "\ndirectory: " << toString(vm.store) << "\nrelays: [" << toString(makeEndpoint(vmGroup, 1, relayPort))
+        << ", " << toString(makeEndpoint(vmGroup, 2, relayPort)) << "]\nlog_level: debug\n";
 }
 
 void SoakSimulation::addUpstream(const std::string &service, const Endpoint &address)
@@ -140,6 +143,10 @@
 
 void SoakSimulation::sendToCaller(std::uint64_t upstream, const Endpoint &caller, std::vector<std::byte> bytes)
 {
+    const auto mute = muteUntil_.find(upstream);
+    if (mute != muteUntil_.end() && now() < mute->second) {
+        return;
+    }
     const Endpoint to { .address = caller.address, .port = packetPort };
     const auto late = lateAnswers_.find(upstream);
     if (late == lateAnswers_.end() || now() >= late->second.first) {
@@ -164,7 +171,12 @@
             return {};
         },
         .vmNumber = [](const Endpoint &vm) { return vm.address.value & 0xffU; },
-        .isCutOff = [this](std::size_t vm) { return now() < vms_.at(vm - 1).cutFromUpstreamsUntil; },
+        .isCutOff =
+            [this, id](std::size_t vm) {
+                const auto pair = cutPairs_.find({ vm, id });
+                return now() < vms_.at(vm - 1).cutFromUpstreamsUntil
+                    || (pair != cutPairs_.end() && now() < pair->second);
+            },
     };
     const bool mislabeled = plan_.sabotage == Sabotage::Service && id == 1;
     upstreams_.push_back(std::make_unique<SimulatedUpstream>(runtime_.context(),
--- a/soak/soak_simulation.h
+++ b/soak/soak_simulation.h
@@ -86,6 +86,8 @@
         Endpoint packet;
         Endpoint admin;
         Endpoint relay;
+        /// The store's endpoint for this VM.
+        Endpoint store;
         bool inRotation = false;
         bool readinessCheckPending = false;
         unsigned failedChecks = 0;
@@ -140,6 +142,9 @@
     void restartUpstream(std::uint64_t id, Random &random);
     void injectLateAnswers(Random &random);
     void injectReachabilityFault(Random &random);
+    void injectPathFault(Random &random);
+    /// Cuts a VM off from the store alone.
+    void cutOffFromStore(std::size_t vm, Duration length);
     /// Removes the record of a running upstream, which writes it again after @p length.
     void loseRecord(std::uint64_t id, Duration length);
     /// Writes the record of another upstream of the same service with the address of a running one.
@@ -166,6 +171,10 @@
     std::vector<Entry> entries_;
     std::uint64_t nextUpstreamId_ = 1;
     std::uint64_t nextIncarnation_ = 1;
+    /// VMs, by number, and upstreams whose packets from the VM are lost until the time given.
+    std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> cutPairs_;
+    /// Upstreams whose packets to callers are lost until the time given.
+    std::map<std::uint64_t, TimePoint> muteUntil_;
     /// Upstreams that answer late until the time given.
     std::map<std::uint64_t, std::pair<TimePoint, Duration>> lateAnswers_;
     std::uint64_t catalogueVersion_ = 0;
--- a/tests/programs/soak_mixes_test.sh
+++ b/tests/programs/soak_mixes_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Guards open flows while VMs are stopped and started: against upstreams that answer a SYN late, against upstreams that
 # start again under their ids, records of other writers and listings in pages, and against serving upstreams that are
-# unlisted, ignore checks or whose address another record names. Usage: soak_mixes_test.sh BUILD
+# unlisted, ignore checks or whose address another record names, also while single paths are cut. Usage:
+# soak_mixes_test.sh BUILD
 set -euo pipefail
 build="$1"
 folder="$(mktemp -d)"
@@ -30,4 +31,5 @@
 result=0
 run_all "late-answers 1" "late-answers 2" "records 1" "records 2" || result=1
 run_all "reachability 1" "reachability 3" "reachability 5" "reachability 7" || result=1
+run_all "reachability 126" "reachability 140" "paths 37" "paths 41" || result=1
 exit "$result"
