Offer a SYN to a second upstream only after a failed check of the first

Cause: as with resets, a missing record counted as the end of an upstream. The first one's answer was late. The caller opened the flow at the second upstream and used the tag of the first one's repeated answer, which led the flow there as soon as no VM had its record. The same holds for a record that names the upstream's address.

Now only a failed check moves a SYN. An upstream that left within 0.6 s after a SYN costs the caller the time until its next attempt (1.4 s). RepeatsASynAtAnUpstreamWhoseRecordIsMissingOrContested fails on the commit before and passes now.

--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -41,7 +41,7 @@
     { "boragelug_flows_broken_total", "Established flows that lost their upstream.", single },
     { "boragelug_flows_evicted_total", "Flow entries evicted from a full table, by state.", perReason },
     { "boragelug_flows_moved_total",
-      "New flows sent to another upstream because the first one is silent or has ended.",
+      "New flows sent to another upstream because the first one is silent.",
       single },
     { "boragelug_flows_open", "Open flows of which this VM is the primary, by service.", perService },
     { "boragelug_flows_placed_remote_total", "New flows placed in another availability zone.", single },
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -61,7 +61,8 @@
 }
 
 // The caller opens the flow at the first upstream that answers, but uses the tag of the last one, which other VMs then
-// take for the flow's upstream. So a SYN goes to a second upstream only if the first one can't answer any more.
+// take for the flow's upstream. So a SYN goes to a second upstream only if a check of the first one failed: records
+// that are missing or name its address don't show that it can't answer any more.
 TaggedDecision TaggedRouter::routeSynCopy(
     const FlowPacket &packet, const DirectoryEntry &entry, Flow &flow, const RouteOptions &options, TimePoint now)
 {
@@ -71,7 +72,7 @@
         flow.unansweredCounted = true;
         countUnanswered(*flow.upstream, now);
     }
-    if (isOpening && hasStoppedAnswering(*flow.upstream, now)) {
+    if (isOpening && isSilent(flow.upstream->health, settings_.health, now)) {
         flow.tried = { flow.upstream->status.upstream.id, flow.tried.front() };
         return place(packet, entry, PlacementReason::OtherAfterNoAnswer, options.viewIsFresh, now);
     }
@@ -86,12 +87,6 @@
                            .reason = PlacementReason::Repeated };
 }
 
-bool TaggedRouter::hasStoppedAnswering(const TrackedUpstream &upstream, TimePoint now) const
-{
-    return !isInView(upstream) || upstream.status.listing == Listing::Gone || hasLostAddress(upstream)
-        || isSilent(upstream.health, settings_.health, now);
-}
-
 PlacementCandidate TaggedRouter::placementCandidate(const TrackedUpstream &upstream, TimePoint now) const
 {
     PlacementCandidate candidate;
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -72,7 +72,7 @@
 inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::UnplacedCopy) + 1;
 
 /// Why the upstream of a new flow was chosen: for its first SYN, again for a copy of the SYN, or another one because
-/// the first is silent or has ended.
+/// the first is silent.
 enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
 
 /// Sends the packet to an upstream.
@@ -147,7 +147,7 @@
 {
     std::uint64_t forwarded = 0;
     std::uint64_t placed = 0;
-    /// Flows placed at another upstream because the first one is silent or has ended.
+    /// Flows placed at another upstream because the first one is silent.
     std::uint64_t moved = 0;
     std::uint64_t placedRemote = 0;
     std::uint64_t retransmittedData = 0;
@@ -309,8 +309,6 @@
     /// Requests checks of the upstreams that leave the SYN of a flow unanswered.
     void checkOpenings(TimePoint now);
     Duration openingTime() const;
-    /// Whether @p upstream can no longer answer a SYN that it received.
-    bool hasStoppedAnswering(const TrackedUpstream &upstream, TimePoint now) const;
     const DirectoryEntry *findEntry(const Endpoint &address) const;
     std::shared_ptr<TrackedUpstream> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
     std::shared_ptr<TrackedUpstream> findUpstream(const FlowPacket &packet, const DirectoryEntry &entry) const;
--- a/tests/routing/tagged_openings_test.cpp
+++ b/tests/routing/tagged_openings_test.cpp
@@ -26,6 +26,29 @@
     EXPECT_EQ(router.counters().moved, 0U);
 }
 
+// A SYN whose upstream loses its record, or whose address another record names, must not go to another one: the first
+// may answer late.
+TEST_F(TaggedRouterTest, RepeatsASynAtAnUpstreamWhoseRecordIsMissingOrContested)
+{
+    setUpstreams({ upstream(1, ledger, home) });
+    EXPECT_EQ(route(syn(1, 1))->upstream, UpstreamId { 1 });
+    now += 100ms;
+    auto rival = upstream(9, ledger, home, 7);
+    rival.upstream.tunnelEndpoint = upstream(1, ledger, home).upstream.tunnelEndpoint;
+    rival.knownSince = now;
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home), rival });
+    checkUpstreams(true);
+    now += 100ms;
+    EXPECT_EQ(route(synCopy(syn(1, 1), 1))->upstream, UpstreamId { 1 });
+    auto unlisted = upstream(1, ledger, home);
+    unlisted.listing = Listing::Gone;
+    unlisted.vanishedAt = now;
+    setUpstreams({ unlisted, upstream(2, ledger, home) });
+    now += 400ms;
+    EXPECT_EQ(route(synCopy(syn(1, 1), 2))->upstream, UpstreamId { 1 });
+    EXPECT_EQ(router.counters().moved, 0U);
+}
+
 // A SYN whose upstream has crashed must open at another one before the caller gives up.
 TEST_F(TaggedRouterTest, MovesASynFromASilentUpstream)
 {
