Reset a SYN of a silent upstream instead of sending it to a second one

Callers saw packets of an open flow reach another upstream, and the reset, although their own upstream served.

Cause: upstream 21 ignored connections while its answers to callers were lost. Its check failed, and the copy of a SYN went to upstream 15, where the flow opened. Upstream 21 had the SYN too and repeated its answer for 10 s. When answers arrived again, the caller took over the tag of the last one, and upstream 21 reset the flow 6 s later. A failed check does not show that an upstream will not answer later; no bound on time helps within the 10 s.

Now a SYN never goes to a second upstream. If its upstream is silent and another one could take the flow, the copy is reset, so that the caller opens another flow at once, as long as before with the move. The reset of a SYN has sequence number 0, which callers ignore if the flow has opened meanwhile; the soak's callers do so too now. Event 309, its reason and boragelug_flows_moved_total are gone.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -77,8 +77,6 @@
         return "flow_waits";
     case EventNumber::FlowReleased:
         return "flow_released";
-    case EventNumber::FlowMoved:
-        return "flow_moved";
     case EventNumber::FlowTagDiffers:
         return "flow_tag_differs";
     case EventNumber::RequestAccepted:
--- a/core/event.h
+++ b/core/event.h
@@ -52,7 +52,6 @@
     FlowUnanswered = 306,
     FlowWaits = 307,
     FlowReleased = 308,
-    FlowMoved = 309,
     FlowTagDiffers = 310,
     RequestAccepted = 400,
     RequestDispatched = 401,
--- a/drivers/metric_definitions.cpp
+++ b/drivers/metric_definitions.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t perService = 1'000;
 constexpr std::size_t undocumented = 100;
 
-constexpr std::array<MetricDefinition, 59> definitions { {
+constexpr std::array<MetricDefinition, 58> definitions { {
     { "boragelug_admin_requests_refused_total", "Requests that the admin server refused, by reason.", perReason },
     { "boragelug_admin_requests_total", "Requests that the admin server answered, by path.", perReason },
     { "boragelug_admission_limit", "Requests that this VM lets a service work on at once, by service.", perService },
@@ -40,9 +40,6 @@
       single },
     { "boragelug_flows_broken_total", "Established flows that lost their upstream.", single },
     { "boragelug_flows_evicted_total", "Flow entries evicted from a full table, by state.", perReason },
-    { "boragelug_flows_moved_total",
-      "New flows sent to another upstream because the first one is silent.",
-      single },
     { "boragelug_flows_open", "Open flows of which this VM is the primary, by service.", perService },
     { "boragelug_flows_placed_remote_total", "New flows placed in another availability zone.", single },
     { "boragelug_flows_placed_total", "New flows placed.", single },
--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -17,7 +17,7 @@
 
 std::string_view reasonName(PlacementReason reason)
 {
-    constexpr std::array<std::string_view, 3> names { "first", "repeated", "other_after_no_answer" };
+    constexpr std::array<std::string_view, 2> names { "first", "repeated" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -45,7 +45,7 @@
 EventNumber forwardEvent(const ForwardPacket &forward)
 {
     if (forward.placed) {
-        return forward.reason == PlacementReason::OtherAfterNoAnswer ? EventNumber::FlowMoved : EventNumber::FlowPlaced;
+        return EventNumber::FlowPlaced;
     }
     return forward.tagUpstream != UpstreamId {} ? EventNumber::FlowTagDiffers : EventNumber::FlowUnanswered;
 }
@@ -58,9 +58,6 @@
     if (forward.tagUpstream != UpstreamId {}) {
         event.fields.emplace_back("tag_upstream", causeText(forward.tagUpstream.value));
     }
-    if (forward.movedFrom != UpstreamId {}) {
-        event.fields.emplace_back("from", causeText(forward.movedFrom.value));
-    }
     if (forward.placed) {
         event.fields.emplace_back("reason", reasonName(forward.reason));
         event.fields.emplace_back("cost", std::to_string(forward.cost));
--- a/programs/boragelugctl/event_log.cpp
+++ b/programs/boragelugctl/event_log.cpp
@@ -79,8 +79,7 @@
         if (event.causeId == causeId) {
             signs.upstream = fieldOf(event, "upstream").value_or(signs.upstream);
             signs.catalogue = fieldOf(event, "catalogue").value_or(signs.catalogue);
-            signs.unanswered = signs.unanswered || event.number == EventNumber::FlowUnanswered
-                || fieldOf(event, "reason") == "other_after_no_answer";
+            signs.unanswered = signs.unanswered || event.number == EventNumber::FlowUnanswered;
             if (event.number == EventNumber::FlowRefused) {
                 signs.refusal = fieldOf(event, "reason");
             }
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -130,7 +130,7 @@
         explanation.viewGeneration = node_.view()->revision.value;
     }
     const EventNumber last = explanation.events.back().number;
-    explanation.outcome = last == EventNumber::FlowPlaced || last == EventNumber::FlowMoved ? "placed" : "refused";
+    explanation.outcome = last == EventNumber::FlowPlaced ? "placed" : "refused";
     return explanation;
 }
 
@@ -141,7 +141,6 @@
     totals_.add("boragelug_packets_sent_total", counters.forwarded);
     totals_.add("boragelug_flows_placed_total", counters.placed);
     totals_.add("boragelug_flows_placed_remote_total", counters.placedRemote);
-    totals_.add("boragelug_flows_moved_total", counters.moved);
     totals_.add("boragelug_upstream_misses_total", counters.unansweredPackets);
     totals_.add("boragelug_flow_tag_mismatches_total", counters.tagMismatches);
     for (std::size_t i = 0; i < taggedRefusalCount; ++i) {
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -49,7 +49,7 @@
     if (options.mayQueue && placeable_.contains(service) && !isBelowLimit(service, now >= attributes.lateAt, now)) {
         return queueDecision(attributes);
     }
-    return place(packet, entry, PlacementReason::First, options.viewIsFresh, now);
+    return place(packet, entry, options.viewIsFresh, now);
 }
 
 // A VM that did not place the flow has no record of its SYN, but knows the sequence numbers of its data.
@@ -60,9 +60,9 @@
             && isNear(syn.sequence, flow.nextSequence, maxSequenceGap));
 }
 
-// The caller opens the flow at the first upstream that answers, but uses the tag of the last one, which other VMs then
-// take for the flow's upstream. So a SYN goes to a second upstream only if a check of the first one failed: records
-// that are missing or name its address don't show that it can't answer any more.
+// A SYN never goes to a second upstream, since the first one may answer later: the caller opens the flow at the first
+// upstream that answers, but uses the tag of the last one, which other VMs then take for the flow's upstream. Callers
+// ignore a reset of a SYN if the flow is open, and otherwise open another flow at once.
 TaggedDecision TaggedRouter::routeSynCopy(
     const FlowPacket &packet, const DirectoryEntry &entry, Flow &flow, const RouteOptions &options, TimePoint now)
 {
@@ -72,9 +72,9 @@
         flow.unansweredCounted = true;
         countUnanswered(*flow.upstream, now);
     }
-    if (isOpening && isSilent(flow.upstream->health, settings_.health, now)) {
-        flow.tried = { flow.upstream->status.upstream.id, flow.tried.front() };
-        return place(packet, entry, PlacementReason::OtherAfterNoAnswer, options.viewIsFresh, now);
+    if (isOpening && options.viewIsFresh && isSilent(flow.upstream->health, settings_.health, now)
+        && hasAlternative(packet, entry, now)) {
+        return makeReset(TaggedRefusal::SilentUpstream, packet, *flow.upstream, now);
     }
     if (!isInView(*flow.upstream)) {
         return refuse(TaggedRefusal::UnknownTag, false);
@@ -87,6 +87,15 @@
                            .reason = PlacementReason::Repeated };
 }
 
+bool TaggedRouter::hasAlternative(const FlowPacket &packet, const DirectoryEntry &entry, TimePoint now) const
+{
+    const auto found = placeable_.find(serviceOf(entry, packet));
+    return found != placeable_.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const auto &upstream) {
+               return !placementCandidate(*upstream, now).ejected;
+           });
+}
+
 PlacementCandidate TaggedRouter::placementCandidate(const TrackedUpstream &upstream, TimePoint now) const
 {
     PlacementCandidate candidate;
@@ -103,10 +112,9 @@
     return candidate;
 }
 
-std::vector<std::shared_ptr<TaggedRouter::TrackedUpstream>>
-TaggedRouter::selectUpstreams(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now)
+std::vector<std::shared_ptr<TaggedRouter::TrackedUpstream>> TaggedRouter::selectUpstreams(const FlowPacket &packet,
+                                                                                          const DirectoryEntry &entry)
 {
-    static_cast<void>(now);
     std::vector<std::shared_ptr<TrackedUpstream>> chosen;
     const auto found = placeable_.find(serviceOf(entry, packet));
     if (found == placeable_.end()) {
@@ -119,26 +127,15 @@
     for (std::size_t i = 0; i < serviceUpstreams.size() && chosen.size() < wanted; ++i) {
         chosen.push_back(serviceUpstreams[(offset + i * stride) % serviceUpstreams.size()]);
     }
-    if (earlier != nullptr) {
-        const auto wasTried = [&](const auto &upstream) {
-            const UpstreamId id = upstream->status.upstream.id;
-            return std::find(earlier->tried.begin(), earlier->tried.end(), id) != earlier->tried.end();
-        };
-        if (!std::all_of(chosen.begin(), chosen.end(), wasTried)) {
-            std::erase_if(chosen, wasTried);
-        }
-    }
     return chosen;
 }
 
-TaggedDecision TaggedRouter::place(
-    const FlowPacket &packet, const DirectoryEntry &entry, PlacementReason reason, bool viewIsFresh, TimePoint now)
+TaggedDecision
+TaggedRouter::place(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now)
 {
     const FlowId id { packet.caller, packet.entry };
     const auto found = flows_.find(id);
-    const bool retried = reason == PlacementReason::OtherAfterNoAnswer;
-    const UpstreamId movedFrom = retried ? found->second.upstream->status.upstream.id : UpstreamId {};
-    const auto upstreams = selectUpstreams(packet, entry, retried ? &found->second : nullptr, now);
+    const auto upstreams = selectUpstreams(packet, entry);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(upstreams.size());
     for (const auto &upstream : upstreams) {
@@ -151,14 +148,11 @@
     const auto &upstream = upstreams[*choice];
     ++counters_.forwarded;
     ++counters_.placed;
-    counters_.moved += retried ? 1 : 0;
     counters_.placedRemote += candidates[*choice].local ? 0 : 1;
     if (found != flows_.end() || flows_.size() < settings_.maxTrackedFlows) {
         Flow &flow = found != flows_.end() ? found->second : flows_[id];
-        const auto tried = retried ? flow.tried : std::array<UpstreamId, 2> {};
         unassignUpstream(flow);
         flow = Flow {};
-        flow.tried = tried;
         flow.synSequence = packet.sequence;
         flow.nextSequence = packet.sequence + 1;
         flow.lastPacket = now;
@@ -174,8 +168,7 @@
                            .address = upstream->status.upstream.tunnelEndpoint,
                            .tag = upstream->tag,
                            .placed = true,
-                           .reason = reason,
-                           .movedFrom = movedFrom,
+                           .reason = PlacementReason::First,
                            .cost = placementCost(candidates[*choice], settings_.placement),
                            .compared = candidates.size() };
 }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -61,7 +61,7 @@
     NoUpstream, ///< The entry's service has no upstream that may take a flow.
     UnknownTag, ///< No upstream in the view has the packet's tag.
     ForeignTag, ///< The tag's upstream serves none of the entry's services.
-    SilentUpstream, ///< The flow's upstream no longer responds, and the entry's requests are idempotent.
+    SilentUpstream, ///< The flow's upstream no longer responds, and the flow isn't open or its requests are idempotent.
     EndedUpstream, ///< The flow's upstream is unlisted or has lost its address, and leaves requests unanswered.
     ConcurrencyLimit, ///< The request timed out in the queue for its service, and was not sent to any upstream.
     OutdatedSyn, ///< The SYN waited in the socket of a suspended process.
@@ -71,9 +71,8 @@
 /// Number of values of TaggedRefusal.
 inline constexpr std::size_t taggedRefusalCount = static_cast<std::size_t>(TaggedRefusal::UnplacedCopy) + 1;
 
-/// Why the upstream of a new flow was chosen: for its first SYN, again for a copy of the SYN, or another one because
-/// the first is silent.
-enum class PlacementReason : std::uint8_t { First, Repeated, OtherAfterNoAnswer };
+/// Why the upstream of a new flow was chosen: for its first SYN, or again for a copy of the SYN.
+enum class PlacementReason : std::uint8_t { First, Repeated };
 
 /// Sends the packet to an upstream.
 struct ForwardPacket
@@ -86,8 +85,6 @@
     /// The packet is the SYN of a flow or a copy of it.
     bool placed = false;
     PlacementReason reason = PlacementReason::First;
-    /// The upstream that did not answer an earlier copy of the SYN; 0 if there is none.
-    UpstreamId movedFrom {};
     /// The upstream that the packet's tag names, if the flow is open at another one; 0 otherwise and if that was
     /// reported for the flow before.
     UpstreamId tagUpstream {};
@@ -147,8 +144,6 @@
 {
     std::uint64_t forwarded = 0;
     std::uint64_t placed = 0;
-    /// Flows placed at another upstream because the first one is silent.
-    std::uint64_t moved = 0;
     std::uint64_t placedRemote = 0;
     std::uint64_t retransmittedData = 0;
     std::uint64_t unansweredPackets = 0;
@@ -288,8 +283,6 @@
         std::uint32_t acknowledged = 0;
         TimePoint lastPacket;
         TimePoint synSentAt;
-        /// Upstreams that did not answer an earlier copy of the SYN.
-        std::array<UpstreamId, 2> tried {};
     };
 
     using FlowId = std::pair<Endpoint, Endpoint>;
@@ -333,10 +326,11 @@
     QueuePacket queueDecision(const WaitingRequestAttributes &attributes);
     ServiceAdmission &admission(ServiceId service);
     double localSlots(ServiceId service) const;
-    TaggedDecision place(
-        const FlowPacket &packet, const DirectoryEntry &entry, PlacementReason reason, bool viewIsFresh, TimePoint now);
-    std::vector<std::shared_ptr<TrackedUpstream>>
-    selectUpstreams(const FlowPacket &packet, const DirectoryEntry &entry, const Flow *earlier, TimePoint now);
+    TaggedDecision place(const FlowPacket &packet, const DirectoryEntry &entry, bool viewIsFresh, TimePoint now);
+    std::vector<std::shared_ptr<TrackedUpstream>> selectUpstreams(const FlowPacket &packet,
+                                                                  const DirectoryEntry &entry);
+    /// Whether another flow to the entry would be placed at an upstream that isn't ejected.
+    bool hasAlternative(const FlowPacket &packet, const DirectoryEntry &entry, TimePoint now) const;
     PlacementCandidate placementCandidate(const TrackedUpstream &upstream, TimePoint now) const;
     /// track() and trackData() update the flow's record, and return whether the packet is a retransmission that its
     /// upstream should have answered.
--- a/soak/simulated_caller.cpp
+++ b/soak/simulated_caller.cpp
@@ -1,5 +1,7 @@
 #include "soak/simulated_caller.h"
 
+#include "routing/sequence_number.h"
+
 #include <utility>
 
 namespace boragelug::soak
@@ -19,6 +21,8 @@
 // Long pauses end before the idle timeout of flows.
 constexpr Duration minLongPause = 3s;
 constexpr std::uint64_t longPauseSpreadMilliseconds = 7000;
+// Callers ignore a reset of an open flow whose sequence number is further from their acknowledgement.
+constexpr std::uint32_t resetWindow = 76'800;
 
 } // namespace
 
@@ -118,6 +122,10 @@
     }
     auto &[port, flow] = *found;
     if (packet.reset) {
+        const bool isNearAcknowledgement = isNear(packet.sequence, flow.expectedSequence, resetWindow);
+        if (packet.sum == 0 && flow.phase != Phase::Opening && !isNearAcknowledgement) {
+            return;
+        }
         ++counts_.resets;
         if (packet.sum == 0 && flow.phase != Phase::Opening) {
             invariants_.checkLoadBalancerReset({ packet.to, packet.from }, now);
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -256,6 +256,7 @@
         auto forged = *decode(packet);
         std::swap(forged.from, forged.to);
         forged.reset = true;
+        forged.sequence = forged.acknowledged;
         forged.sum = 0;
         runAfter(Duration {}, [this, caller, forged] { callers_[caller].receive(forged, now()); });
         return;
