Share the setup of unlisted upstreams between the tests of the tagged router

Cause: six tests repeated three lines that make an upstream unlisted. Change: unlistedUpstream() in the fixture; no check changes.

--- a/tests/routing/ended_upstream_test.cpp
+++ b/tests/routing/ended_upstream_test.cpp
@@ -17,9 +17,7 @@
 // An upstream whose record vanished may still be alive; a reset would break its flows.
 TEST_F(TaggedRouterTest, ForwardsFlowsOfUnlistedUpstreams)
 {
-    auto unlisted = upstream(3, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(3, now);
     setUpstreams({ unlisted });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     EXPECT_EQ(route(data(syn(1, 1), tag, 0, 1))->upstream, UpstreamId { 3 });
@@ -30,9 +28,7 @@
 // Without a reset, a request on a flow whose upstream has exited waits until it is too late to retry.
 TEST_F(TaggedRouterTest, ResetsOverdueRequestsOfExitedUpstreams)
 {
-    auto unlisted = upstream(3, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(3, now);
     setUpstreams({ unlisted });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     now += TaggedRouterSettings {}.unlistedTimeout;
@@ -52,9 +48,7 @@
 // an unlisted upstream that serves may be reset for that.
 TEST_F(TaggedRouterTest, KeepsFlowsOfAnUnlistedUpstreamAfterAFlowMovedAway)
 {
-    auto unlisted = upstream(3, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(3, now);
     setUpstreams({ unlisted });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
@@ -86,9 +80,7 @@
 // Records that lapsed during an outage are listed again some time after it.
 TEST_F(TaggedRouterTest, KeepsFlowsUntilRecordsHadTimeToReturn)
 {
-    auto unlisted = upstream(3, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(3, now);
     setUpstreams({ unlisted });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     now += TaggedRouterSettings {}.unlistedTimeout - 400ms;
@@ -127,9 +119,7 @@
 // view is stale.
 TEST_F(TaggedRouterTest, KeepsFlowsOfUnlistedUpstreamsWithProgress)
 {
-    auto unlisted = upstream(3, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(3, now);
     setUpstreams({ unlisted });
     const FlowTag tag = flowTagOf(UpstreamId { 3 }, Incarnation { 1 });
     EXPECT_TRUE(route(data(syn(1, 1), tag, 0, 1)));
--- a/tests/routing/tagged_fixture.h
+++ b/tests/routing/tagged_fixture.h
@@ -43,6 +43,15 @@
     return status;
 }
 
+/// An upstream of the ledger in the home zone whose record was removed at @p vanishedAt.
+inline DirectoryUpstream unlistedUpstream(std::uint64_t id, TimePoint vanishedAt)
+{
+    DirectoryUpstream status = upstream(id, ledger, home);
+    status.listing = Listing::Gone;
+    status.vanishedAt = vanishedAt;
+    return status;
+}
+
 inline std::shared_ptr<DirectoryView> view(std::vector<DirectoryUpstream> upstreams)
 {
     auto made = std::make_shared<DirectoryView>();
--- a/tests/routing/tagged_openings_test.cpp
+++ b/tests/routing/tagged_openings_test.cpp
@@ -39,9 +39,7 @@
     checkUpstreams(true);
     now += 100ms;
     EXPECT_EQ(route(synCopy(syn(1, 1), 1))->upstream, UpstreamId { 1 });
-    auto unlisted = upstream(1, ledger, home);
-    unlisted.listing = Listing::Gone;
-    unlisted.vanishedAt = now;
+    const auto unlisted = unlistedUpstream(1, now);
     setUpstreams({ unlisted, upstream(2, ledger, home) });
     now += 400ms;
     EXPECT_EQ(route(synCopy(syn(1, 1), 2))->upstream, UpstreamId { 1 });
