Log the evidence of resets of silent upstreams

Cause: flow_refused with silent_upstream named the upstream only. A lost path, an overloaded upstream and a crashed one gave the same line. Change: the line has the times since the check, the last progress and the last unanswered packet, for how long requests wait, and the number of unanswered packets.

ResetsItsFlowsWithoutAPacketOfTheCaller compares the values.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -79,11 +79,19 @@
     if (reset.upstream != UpstreamId {}) {
         event.fields.emplace_back("upstream", causeText(reset.upstream.value));
     }
-    if (reset.reason == TaggedRefusal::EndedUpstream) {
+    const bool hasEnded = reset.reason == TaggedRefusal::EndedUpstream;
+    if (!hasEnded && reset.reason != TaggedRefusal::SilentUpstream) {
+        return;
+    }
+    event.fields.emplace_back("since_progress_ms", milliseconds(reset.sinceProgress));
+    event.fields.emplace_back("waiting_ms", milliseconds(reset.waiting));
+    if (hasEnded) {
         event.fields.emplace_back("unlisted_ms", milliseconds(reset.sinceUnlisted));
-        event.fields.emplace_back("since_progress_ms", milliseconds(reset.sinceProgress));
-        event.fields.emplace_back("waiting_ms", milliseconds(reset.waiting));
         event.fields.emplace_back("opened_here", reset.openedHere ? "yes" : "no");
+    } else {
+        event.fields.emplace_back("since_check_ms", milliseconds(reset.sinceCheck));
+        event.fields.emplace_back("since_unanswered_ms", milliseconds(reset.sinceUnanswered));
+        event.fields.emplace_back("unanswered", std::to_string(reset.unanswered));
     }
 }
 
@@ -514,8 +522,7 @@
     }
     flows = router_.takeSilentFlows(now);
     for (const SilentFlow &flow : flows) {
-        const ResetFlow reset { .reason = TaggedRefusal::SilentUpstream, .upstream = flow.upstream };
-        appendDecisionEvent(flow.head, reset, std::nullopt, now, events);
+        appendDecisionEvent(flow.head, flow.reset, std::nullopt, now, events);
     }
     return flows;
 }
--- a/programs/tagged_process.cpp
+++ b/programs/tagged_process.cpp
@@ -166,7 +166,7 @@
 {
     std::vector<NodeEvent> events;
     for (const SilentFlow &flow : node_.takeSilentFlows(now(), events)) {
-        carryOut(ResetFlow { .reason = TaggedRefusal::SilentUpstream, .upstream = flow.upstream }, flow.head, {});
+        carryOut(flow.reset, flow.head, {});
     }
     record(std::move(events));
 }
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -252,19 +252,37 @@
 ResetFlow
 TaggedRouter::makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now)
 {
-    ResetFlow reset { .reason = reason, .upstream = upstream.status.upstream.id };
-    if (reason == TaggedRefusal::EndedUpstream) {
-        const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
-        reset.sinceUnlisted = now - upstream.status.vanishedAt;
-        reset.sinceProgress = now - upstream.health.lastProgressAt;
-        reset.waiting = flow != flows_.end() ? now - flow->second.lastNewDataAt : Duration::zero();
-        reset.openedHere = flow != flows_.end() && flow->second.openedHere;
-    }
+    const bool hasEnded = reason == TaggedRefusal::EndedUpstream;
+    const ResetFlow reset = hasEnded ? makeEndedReset(packet, upstream, now) : makeSilentReset(upstream, now);
     discardFlow(packet);
     ++counters_.resets.at(static_cast<std::size_t>(reason));
     return reset;
 }
 
+ResetFlow TaggedRouter::makeEndedReset(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const
+{
+    const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
+    const bool isTracked = flow != flows_.end();
+    return { .reason = TaggedRefusal::EndedUpstream,
+             .upstream = upstream.status.upstream.id,
+             .sinceProgress = now - upstream.health.lastProgressAt,
+             .waiting = isTracked ? now - flow->second.lastNewDataAt : Duration::zero(),
+             .sinceUnlisted = now - upstream.status.vanishedAt,
+             .openedHere = isTracked && flow->second.openedHere };
+}
+
+ResetFlow TaggedRouter::makeSilentReset(const TrackedUpstream &upstream, TimePoint now)
+{
+    const PassiveHealth &health = upstream.health;
+    return { .reason = TaggedRefusal::SilentUpstream,
+             .upstream = upstream.status.upstream.id,
+             .sinceProgress = now - health.lastProgressAt,
+             .waiting = health.waitingSince != TimePoint {} ? now - health.waitingSince : Duration::zero(),
+             .sinceCheck = now - health.checkRequestedAt,
+             .sinceUnanswered = now - health.lastUnansweredAt,
+             .unanswered = health.consecutiveUnanswered };
+}
+
 UpstreamId
 TaggedRouter::mismatchedTag(const FlowPacket &packet, const DirectoryEntry &entry, const TrackedUpstream &upstream)
 {
@@ -379,7 +397,7 @@
         head.entry = address;
         head.ack = true;
         head.acknowledged = flow.acknowledged;
-        silent.push_back({ .head = head, .upstream = flow.upstream->status.upstream.id });
+        silent.push_back({ .head = head, .reset = makeSilentReset(*flow.upstream, now) });
         ++counters_.resets.at(static_cast<std::size_t>(TaggedRefusal::SilentUpstream));
         unassignUpstream(flow);
         flows_.erase(it++);
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -99,13 +99,19 @@
     TaggedRefusal reason = TaggedRefusal::UnknownEntry;
     /// The upstream of the flow so far; 0 if it had none.
     UpstreamId upstream;
-    /// Evidence that the upstream has ended: time since its record vanished and since its last progress on this VM, for
-    /// how long the flow's last data waits, and whether this VM saw the flow open. Set for TaggedRefusal::EndedUpstream
-    /// only.
-    Duration sinceUnlisted {};
+    /// Evidence that the upstream has ended or is silent: time since its last progress on this VM and for how long a
+    /// request waits, of this flow for TaggedRefusal::EndedUpstream and of any flow for TaggedRefusal::SilentUpstream.
     Duration sinceProgress {};
     Duration waiting {};
+    /// Further evidence for TaggedRefusal::EndedUpstream only: time since the upstream's record vanished, and whether
+    /// this VM saw the flow open.
+    Duration sinceUnlisted {};
     bool openedHere = false;
+    /// Further evidence for TaggedRefusal::SilentUpstream only: time since the request of the check that failed, and
+    /// since the last of the unanswered packets, whose number follows.
+    Duration sinceCheck {};
+    Duration sinceUnanswered {};
+    std::uint32_t unanswered = 0;
 };
 
 /// Discards the packet without a response, because the view of this VM may be incomplete or outdated, or because the
@@ -176,7 +182,7 @@
 {
     /// Caller, entry and acknowledged sequence number of the flow, from which the reset is made.
     FlowPacket head;
-    UpstreamId upstream;
+    ResetFlow reset;
 };
 
 /// An upstream was ejected, or returned to placement.
@@ -352,7 +358,12 @@
     bool mayHaveEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
+    /// Discards the flow; @p reason is EndedUpstream or SilentUpstream.
     ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
+    /// The reset of the flow that @p packet belongs to, whose upstream has ended.
+    ResetFlow makeEndedReset(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const;
+    /// The reset of a flow of a silent upstream.
+    static ResetFlow makeSilentReset(const TrackedUpstream &upstream, TimePoint now);
     /// The upstream that the packet's tag names, if it isn't @p upstream and wasn't reported for the flow before.
     UpstreamId mismatchedTag(const FlowPacket &packet, const DirectoryEntry &entry, const TrackedUpstream &upstream);
     void beginRequest(Flow &flow, TimePoint now);
--- a/tests/routing/silent_upstream_test.cpp
+++ b/tests/routing/silent_upstream_test.cpp
@@ -154,7 +154,10 @@
     otherUpstreamProgresses();
     std::set<std::uint16_t> ports;
     for (const SilentFlow &flow : router.takeSilentFlows(now)) {
-        EXPECT_EQ(flow.upstream, UpstreamId { 1 });
+        EXPECT_EQ(flow.reset.upstream, UpstreamId { 1 });
+        EXPECT_EQ(flow.reset.sinceCheck, 160ms);
+        EXPECT_EQ(flow.reset.waiting, 360ms);
+        EXPECT_EQ(flow.reset.unanswered, 2U);
         EXPECT_EQ(flow.head.entry, ledgerEntry);
         EXPECT_EQ(flow.head.acknowledged, 1U);
         ports.insert(flow.head.caller.port.value);
