Don't count data as unanswered that was repeated right after it was forwarded

Callers saw open flows reset by a VM under overload although their upstream served. Cause, first part: requests that waited in the VM's queue were retransmitted by their callers meanwhile; the copies arrived just after the request was forwarded, and counted as packets that the upstream left unanswered. Reordered packets of uploads counted too. Change: a copy within 120 ms says nothing, as for SYNs already.

Evidence: CountsNoCopyOfDataThatWasJustForwarded fails before.

--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -138,7 +138,7 @@
         return false;
     }
     ++counters_.retransmittedData;
-    if (flow.unansweredCounted) {
+    if (flow.unansweredCounted || now - flow.lastNewDataAt < settings_.queuedPacketWindow) {
         return false;
     }
     flow.unansweredCounted = true;
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -68,7 +68,7 @@
 {
     flow.lastPacket = now;
     const bool isOpening = flow.phase == FlowPhase::Opening;
-    if (isOpening && !flow.unansweredCounted && now - flow.synSentAt >= settings_.queuedSynWindow) {
+    if (isOpening && !flow.unansweredCounted && now - flow.synSentAt >= settings_.queuedPacketWindow) {
         flow.unansweredCounted = true;
         countUnanswered(*flow.upstream, now);
     }
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -33,9 +33,10 @@
     /// Time in which all VMs should have received the record of a new upstream: the batching delay between long polls
     /// plus one answer. Until then, placement prefers other upstreams.
     Duration propagationDelay = std::chrono::milliseconds(1500);
-    /// A retransmitted SYN that is read within this time after the first one was forwarded says nothing about the
-    /// upstream. Callers retransmit only after 200 ms, so that both must have been queued at this VM.
-    Duration queuedSynWindow = std::chrono::milliseconds(120);
+    /// A packet that is repeated within this time after this VM forwarded it says nothing about the upstream. Callers
+    /// retransmit only after 200 ms, so that the packet was reordered, or was queued at this VM while its caller
+    /// retransmitted it.
+    Duration queuedPacketWindow = std::chrono::milliseconds(120);
     /// An upstream that leaves a SYN unanswered for this long, and for twice the mean time of answers, is checked
     /// actively, so that the result is known when the caller retransmits the SYN.
     Duration minOpeningTime = std::chrono::milliseconds(20);
--- /dev/null
+++ b/tests/routing/doubtful_silence_test.cpp
@@ -0,0 +1,108 @@
+#include "tagged_fixture.h"
+
+#include "routing/flow_tag.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace boragelug
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace tagged;
+
+constexpr std::uint64_t firstOfInspection = 21;
+
+/// Upstreams 1 to 9 of one service and 21 to 29 of another one. Upstream 9 always answers.
+class DoubtfulSilenceTest : public TaggedRouterTest
+{
+protected:
+    DoubtfulSilenceTest()
+    {
+        std::vector<DirectoryUpstream> listed;
+        for (std::uint64_t id = 1; id <= 9; ++id) {
+            listed.push_back(upstream(id, ledger, home));
+            listed.push_back(upstream(firstOfInspection + id - 1, inspection, home));
+        }
+        setUpstreams(std::move(listed));
+    }
+
+    static FlowTag tagOf(std::uint64_t id) { return flowTagOf(UpstreamId { id }, Incarnation { 1 }); }
+
+    /// A request at the upstream; each port has a flow of its own.
+    static FlowPacket request(std::uint64_t id, std::uint16_t port = 1)
+    {
+        const Endpoint &entry = id < firstOfInspection ? ledgerEntry : inspectionEntry;
+        return data(syn(static_cast<std::uint32_t>(id), port, entry), tagOf(id), 0, 1);
+    }
+
+    /// The caller's acknowledgement of the answer to request().
+    static FlowPacket answer(std::uint64_t id, std::uint16_t port = 1)
+    {
+        FlowPacket packet = request(id, port);
+        packet.sequence += packet.dataBytes;
+        packet.acknowledged = 500;
+        packet.dataBytes = 0;
+        return packet;
+    }
+
+    void zoneProgresses()
+    {
+        acknowledged_ += 100;
+        route(data(syn(9, 99), tagOf(9), acknowledged_, acknowledged_));
+    }
+
+    /// Upstream 1 leaves a request unanswered, and the check that follows.
+    void upstreamFallsSilent()
+    {
+        zoneProgresses();
+        route(request(1));
+        now += 200ms;
+        route(request(1));
+        now += 160ms;
+        checkUpstreams(false);
+        zoneProgresses();
+    }
+
+    /// The upstreams from @p first to @p last answer a request after its caller retransmitted it.
+    void answerLate(std::uint64_t first, std::uint64_t last, std::uint16_t port = 1)
+    {
+        for (std::uint64_t id = first; id <= last; ++id) {
+            route(request(id, port));
+        }
+        now += 200ms;
+        for (std::uint64_t id = first; id <= last; ++id) {
+            route(request(id, port));
+        }
+        checkUpstreams(true);
+        now += 10ms;
+        for (std::uint64_t id = first; id <= last; ++id) {
+            route(answer(id, port));
+        }
+    }
+
+    std::size_t resets() { return router.takeSilentFlows(now).size(); }
+
+private:
+    std::uint32_t acknowledged_ = 1;
+};
+
+// A request that waited in a queue of this VM was retransmitted meanwhile. The copies that follow must not count
+// against its upstream.
+TEST_F(DoubtfulSilenceTest, CountsNoCopyOfDataThatWasJustForwarded)
+{
+    route(request(1));
+    now += 60ms;
+    EXPECT_FALSE(route(request(1))->unanswered);
+    EXPECT_TRUE(router.takeChecks().empty());
+    now += 140ms;
+    EXPECT_TRUE(route(request(1))->unanswered);
+    EXPECT_EQ(router.takeChecks().size(), 1U);
+}
+
+} // namespace
+} // namespace boragelug
