Require unanswered data before flows of a silent upstream are reset

Callers saw open flows reset by a VM under overload although their upstream served. Cause, second part: an upstream that is full ignores SYNs, while its open flows are served. A repeated SYN of another caller and a failed check were enough to reset all idempotent flows of the upstream, also those whose callers had retransmitted nothing. Change: SYNs lead to checks and ejection as before, but only unanswered data is evidence against open flows.

Evidence: KeepsOpenFlowsOfAnUpstreamThatIsFull fails before.

--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -36,10 +36,13 @@
     health.silentSince = {};
 }
 
-void recordUnanswered(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
+void recordUnanswered(PassiveHealth &health, UnansweredKind kind, const PassiveHealthSettings &settings, TimePoint now)
 {
     ++health.consecutiveUnanswered;
     health.lastUnansweredAt = now;
+    if (kind == UnansweredKind::Data) {
+        health.lastUnansweredDataAt = now;
+    }
     if (health.consecutiveUnanswered < settings.unansweredToEject || now < health.ejectedUntil) {
         return;
     }
@@ -91,4 +94,10 @@
     return health.consecutiveUnanswered > 0 && now - health.lastUnansweredAt < settings.unansweredRetention;
 }
 
+bool hasUnansweredData(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
+{
+    return health.lastUnansweredDataAt > health.lastProgressAt
+        && now - health.lastUnansweredDataAt < settings.unansweredRetention;
+}
+
 } // namespace boragelug
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -16,6 +16,8 @@
 {
     TimePoint lastProgressAt;
     TimePoint lastUnansweredAt;
+    /// When a caller last retransmitted data; unlike a SYN, data isn't ignored by an upstream that is full.
+    TimePoint lastUnansweredDataAt;
     /// Unanswered packets since the last progress. Retransmitted data of a flow counts once until the flow progresses.
     std::uint32_t consecutiveUnanswered = 0;
     /// Ejected until then: gets no new flows while another upstream is left.
@@ -79,8 +81,11 @@
 /// Records that a caller acknowledged new data of the upstream.
 void recordProgress(PassiveHealth &health, TimePoint now);
 
+/// What a packet without an answer was.
+enum class UnansweredKind : std::uint8_t { Syn, Data };
+
 /// Records a packet that the upstream did not answer; may eject the upstream.
-void recordUnanswered(PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+void recordUnanswered(PassiveHealth &health, UnansweredKind kind, const PassiveHealthSettings &settings, TimePoint now);
 
 /// Whether the upstream is ejected from placement now.
 bool isEjected(const PassiveHealth &health, TimePoint now);
@@ -131,4 +136,7 @@
 /// Whether the upstream left a packet unanswered recently and made no progress since.
 bool isSuspect(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
 
+/// Whether the upstream left data unanswered recently and made no progress since.
+bool hasUnansweredData(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+
 } // namespace boragelug
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -142,14 +142,14 @@
         return false;
     }
     flow.unansweredCounted = true;
-    countUnanswered(*flow.upstream, now);
+    countUnanswered(*flow.upstream, UnansweredKind::Data, now);
     return true;
 }
 
-void TaggedRouter::countUnanswered(TrackedUpstream &upstream, TimePoint now)
+void TaggedRouter::countUnanswered(TrackedUpstream &upstream, UnansweredKind kind, TimePoint now)
 {
     ++counters_.unansweredPackets;
-    recordUnanswered(upstream.health, settings_.health, now);
+    recordUnanswered(upstream.health, kind, settings_.health, now);
     if (beginCheckIfDue(upstream.health, CheckCause::UnansweredPacket, earlyChecks_, settings_.health, now)) {
         requestCheck(upstream);
     }
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -70,7 +70,7 @@
     const bool isOpening = flow.phase == FlowPhase::Opening;
     if (isOpening && !flow.unansweredCounted && now - flow.synSentAt >= settings_.queuedPacketWindow) {
         flow.unansweredCounted = true;
-        countUnanswered(*flow.upstream, now);
+        countUnanswered(*flow.upstream, UnansweredKind::Syn, now);
     }
     if (isOpening && options.viewIsFresh && isSilent(flow.upstream->health, settings_.health, now)
         && hasAlternative(packet, entry, now)) {
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -332,13 +332,13 @@
 }
 
 // A lost acknowledgement looks the same as a silent upstream, and a wrong reset breaks a flow of a live upstream. So a
-// reset requires an overdue request, a recent unanswered packet, an active check without a response, and progress of
+// reset requires an overdue request, recent unanswered data, an active check without a response, and progress of
 // another upstream of the zone since then. A flow that moved to another VM leaves an overdue request, but its caller
 // retransmits nothing here.
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
     if (!isSilent(upstream.health, settings_.health, now) || !isLeftWaiting(upstream.health, now)
-        || !isSuspect(upstream.health, settings_.health, now)) {
+        || !hasUnansweredData(upstream.health, settings_.health, now)) {
         return false;
     }
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto &other) {
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -346,7 +346,7 @@
                const std::shared_ptr<TrackedUpstream> &upstream,
                TimePoint now);
     bool trackData(const FlowPacket &packet, Flow &flow, TimePoint now);
-    void countUnanswered(TrackedUpstream &upstream, TimePoint now);
+    void countUnanswered(TrackedUpstream &upstream, UnansweredKind kind, TimePoint now);
     void requestCheck(const TrackedUpstream &upstream);
     /// Why the flow of a data packet is to be reset; std::nullopt if it isn't.
     std::optional<TaggedRefusal> resetReason(const FlowPacket &packet,
--- a/tests/routing/doubtful_silence_test.cpp
+++ b/tests/routing/doubtful_silence_test.cpp
@@ -104,5 +104,25 @@
     EXPECT_EQ(router.takeChecks().size(), 1U);
 }
 
+// An upstream that is full ignores SYNs while it serves its open flows. They must not be reset for that.
+TEST_F(DoubtfulSilenceTest, KeepsOpenFlowsOfAnUpstreamThatIsFull)
+{
+    zoneProgresses();
+    std::uint16_t port = 1;
+    while (route(syn(60, port))->upstream != UpstreamId { 1 }) {
+        ++port;
+    }
+    route(request(1)); // The upstream acknowledges it, and answers in 0.5 s.
+    now += 25ms;
+    router.tick(now);
+    checkUpstreams(false);
+    now += 175ms;
+    router.route(synCopy(syn(60, port), 1), {}, now);
+    now += 160ms;
+    checkUpstreams(false);
+    zoneProgresses();
+    EXPECT_EQ(resets(), 0U);
+}
+
 } // namespace
 } // namespace boragelug
