Withhold resets of silent upstreams while others turn out to serve

Cause: a request without an answer, a repeated packet and a check without an answer were taken for the end of an upstream, while packets and connections to many serving upstreams were lost or late. What a VM sees of one upstream proves nothing while the same evidence is wrong for others.

Evidence: KeepsFlowsWhileOtherUpstreamsTurnOutToServe and KeepsFlowsWhileFailedChecksAreRefuted fail before.

--- a/routing/passive_health.cpp
+++ b/routing/passive_health.cpp
@@ -29,6 +29,9 @@
     if (health.waitingSince != TimePoint {}) {
         health.waitingSince = now;
     }
+    if (health.consecutiveUnanswered > 0 || health.silentSince != TimePoint {}) {
+        health.refutedAt = now;
+    }
     health.lastProgressAt = now;
     health.consecutiveUnanswered = 0;
     health.consecutiveEjections = 0;
@@ -79,6 +82,9 @@
 {
     const bool progressMeanwhile = health.lastProgressAt >= health.checkRequestedAt;
     health.silentSince = answered || progressMeanwhile ? TimePoint {} : now;
+    if (!answered && progressMeanwhile) {
+        health.refutedAt = now;
+    }
     if (health.checkIsEarly && !answered) {
         budget.giveBack(now);
     }
@@ -100,4 +106,9 @@
         && now - health.lastUnansweredDataAt < settings.unansweredRetention;
 }
 
+bool wasRefuted(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now)
+{
+    return health.refutedAt != TimePoint {} && now - health.refutedAt < settings.checkResultRetention;
+}
+
 } // namespace boragelug
--- a/routing/passive_health.h
+++ b/routing/passive_health.h
@@ -3,6 +3,7 @@
 #include "core/time_point.h"
 #include "core/token_bucket.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace boragelug
@@ -18,6 +19,8 @@
     TimePoint lastUnansweredAt;
     /// When a caller last retransmitted data; unlike a SYN, data isn't ignored by an upstream that is full.
     TimePoint lastUnansweredDataAt;
+    /// When the upstream last progressed after an unanswered packet or a failed check.
+    TimePoint refutedAt;
     /// Unanswered packets since the last progress. Retransmitted data of a flow counts once until the flow progresses.
     std::uint32_t consecutiveUnanswered = 0;
     /// Ejected until then: gets no new flows while another upstream is left.
@@ -63,6 +66,9 @@
     /// Flows of a silent upstream are reset only if another upstream of its zone made progress within this time;
     /// otherwise the network path to the zone may be impaired.
     Duration zoneProgressWindow = std::chrono::milliseconds(400);
+    /// No flow is reset as long as this many other upstreams of its service left packets or checks unanswered, but
+    /// served: one may be at fault itself, two show that packets get lost or that the service is overloaded.
+    std::size_t refutedUpstreamsToWithhold = 2;
     /// A request is overdue after this time and after this many times the mean latency of its service's answers.
     Duration minAnswerTimeout = std::chrono::milliseconds(300);
     int meanLatenciesToAnswer = 3;
@@ -139,4 +145,7 @@
 /// Whether the upstream left data unanswered recently and made no progress since.
 bool hasUnansweredData(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
 
+/// Whether the upstream progressed after an unanswered packet or a failed check, as recently as check results count.
+bool wasRefuted(const PassiveHealth &health, const PassiveHealthSettings &settings, TimePoint now);
+
 } // namespace boragelug
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -338,7 +338,7 @@
 bool TaggedRouter::isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const
 {
     if (!isSilent(upstream.health, settings_.health, now) || !isLeftWaiting(upstream.health, now)
-        || !hasUnansweredData(upstream.health, settings_.health, now)) {
+        || !hasUnansweredData(upstream.health, settings_.health, now) || isSilenceDoubtful(upstream, now)) {
         return false;
     }
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto &other) {
@@ -349,6 +349,17 @@
     });
 }
 
+// While packets get lost on the way to upstreams, or a service is overloaded, upstreams that serve look silent too.
+bool TaggedRouter::isSilenceDoubtful(const TrackedUpstream &upstream, TimePoint now) const
+{
+    const auto refuted = std::count_if(upstreams_.begin(), upstreams_.end(), [&](const auto &other) {
+        return other.second.get() != &upstream
+            && other.second->status.upstream.service == upstream.status.upstream.service
+            && wasRefuted(other.second->health, settings_.health, now);
+    });
+    return static_cast<std::size_t>(refuted) >= settings_.health.refutedUpstreamsToWithhold;
+}
+
 void TaggedRouter::discardFlow(const FlowPacket &packet)
 {
     const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -358,6 +358,8 @@
     /// Whether the upstream may have ended: it is unlisted or has lost its address, and none of its flows progresses.
     bool mayHaveEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
+    /// Whether other upstreams of the service of @p upstream turned out to serve after they had seemed silent.
+    bool isSilenceDoubtful(const TrackedUpstream &upstream, TimePoint now) const;
     void discardFlow(const FlowPacket &packet);
     /// Discards the flow; @p reason is EndedUpstream or SilentUpstream.
     ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
--- a/tests/routing/doubtful_silence_test.cpp
+++ b/tests/routing/doubtful_silence_test.cpp
@@ -57,12 +57,12 @@
     }
 
     /// Upstream 1 leaves a request unanswered, and the check that follows.
-    void upstreamFallsSilent()
+    void upstreamFallsSilent(std::uint16_t port = 1)
     {
         zoneProgresses();
-        route(request(1));
+        route(request(1, port));
         now += 200ms;
-        route(request(1));
+        route(request(1, port));
         now += 160ms;
         checkUpstreams(false);
         zoneProgresses();
@@ -124,5 +124,54 @@
     EXPECT_EQ(resets(), 0U);
 }
 
+// While packets get lost on the way to upstreams, or a service is overloaded, upstreams that serve look silent. Their
+// flows must not be reset.
+TEST_F(DoubtfulSilenceTest, KeepsFlowsWhileOtherUpstreamsTurnOutToServe)
+{
+    answerLate(2, 3);
+    upstreamFallsSilent();
+    EXPECT_EQ(resets(), 0U);
+    EXPECT_TRUE(route(request(1, 7))) << "data of another flow";
+    now += PassiveHealthSettings {}.checkResultRetention;
+    upstreamFallsSilent(8);
+    EXPECT_GE(resets(), 1U) << "no other upstream seemed silent lately";
+}
+
+// A failed check of an upstream that then opens a flow shows that checks prove nothing, also without a retransmission.
+TEST_F(DoubtfulSilenceTest, KeepsFlowsWhileFailedChecksAreRefuted)
+{
+    std::vector<std::pair<FlowPacket, FlowTag>> openings;
+    for (std::uint16_t port = 1; openings.size() < 3; ++port) {
+        const auto placed = route(syn(50, port));
+        const bool isKnown = std::any_of(
+            openings.begin(), openings.end(), [&](const auto &known) { return known.second == placed->tag; });
+        if (placed->upstream != UpstreamId { 1 } && !isKnown) {
+            openings.emplace_back(syn(50, port), placed->tag);
+        }
+    }
+    now += 25ms;
+    router.tick(now);
+    EXPECT_GE(checkUpstreams(false), 3U);
+    now += 10ms;
+    for (const auto &[opening, tag] : openings) {
+        FlowPacket acknowledgement = data(opening, tag, 0, 1);
+        acknowledgement.dataBytes = 0;
+        route(acknowledgement);
+    }
+    upstreamFallsSilent();
+    EXPECT_EQ(resets(), 0U);
+}
+
+// One upstream that answers late, or a slow service, must not keep the crash of an upstream elsewhere from being told
+// to its callers.
+TEST_F(DoubtfulSilenceTest, DetectsACrashBesideASlowUpstreamAndASlowService)
+{
+    answerLate(2, 2);
+    answerLate(2, 2, 2);
+    answerLate(firstOfInspection, firstOfInspection + 1);
+    upstreamFallsSilent();
+    EXPECT_EQ(resets(), 1U);
+}
+
 } // namespace
 } // namespace boragelug
