Give a flow on a used port a record of its own

Callers saw the first request of a new flow reset as ended_upstream at an upstream that serves, when the upstream's record had been missing for a while and the caller's port had carried another flow before.

Cause: a VM's record of a flow has caller and entry as its key. When another VM places a later flow on the same port, this VM took the record's sequence numbers, request in progress, time of the last new data, phase and counted retransmission for those of the later flow. findUpstream() compared sequence numbers with the record; track(), hasOverdueRequest() and queueIfAtLimit() didn't.

Now a packet that doesn't continue the flow of the record gets a fresh record. An Opening record stays: only a late packet of an earlier flow can differ from it, and copies of its SYN need it. Such a packet is forwarded by its tag and not recorded. Packets without an acknowledgement are compared by sequence number only.

Evidence: of the eight tests in flow_record_test.cpp, seven failed on the code before: a request reset at once, new data counted as a retransmission with a check, answers that ended no request and were no progress, a first packet that was progress, an upstream's load that wasn't counted, a request that wasn't queued, and a SYN's record opened by a packet of another flow. EndsAFlowWithoutAcknowledgement passed before, and guards against a replacement by a reset packet. All pass now.

--- a/routing/tagged_admission.cpp
+++ b/routing/tagged_admission.cpp
@@ -12,7 +12,7 @@
         return std::nullopt;
     }
     const auto flow = flows_.find(FlowId { packet.caller, packet.entry });
-    const bool hasRecord = flow != flows_.end();
+    const bool hasRecord = flow != flows_.end() && continues(flow->second, packet);
     const bool startsRequest = !hasRecord
         || (!flow->second.busy && flow->second.phase != FlowPhase::Ended
             && isAfter(packet.sequence + packet.dataBytes, flow->second.nextSequence));
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -79,6 +79,13 @@
 {
     const FlowId id { packet.caller, packet.entry };
     auto found = flows_.find(id);
+    if (found != flows_.end() && !continues(found->second, packet)) {
+        if (found->second.phase == FlowPhase::Opening) {
+            return false; // A late packet of an earlier flow; copies of the SYN need the record.
+        }
+        discardFlow(packet);
+        found = flows_.end();
+    }
     if (found == flows_.end()) {
         if (flows_.size() >= settings_.maxTrackedFlows) {
             return false;
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -200,11 +200,13 @@
     return mayHoldFlow && continues(flow, packet) ? flow.upstream : tagged;
 }
 
-// Packets of a later flow on the same port have unrelated sequence numbers.
+// Packets of another flow on the same port have unrelated sequence numbers. Until a flow is open, this VM doesn't know
+// those of its upstream.
 bool TaggedRouter::continues(const Flow &flow, const FlowPacket &packet)
 {
+    const bool knowsAcknowledged = packet.ack && flow.phase != FlowPhase::Opening;
     return isNear(packet.sequence, flow.nextSequence, maxSequenceGap)
-        && isNear(packet.acknowledged, flow.acknowledged, maxSequenceGap);
+        && (!knowsAcknowledged || isNear(packet.acknowledged, flow.acknowledged, maxSequenceGap));
 }
 
 bool TaggedRouter::isInView(const TrackedUpstream &upstream) const
@@ -319,7 +321,7 @@
 bool TaggedRouter::hasOverdueRequest(const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now) const
 {
     const auto found = flows_.find(FlowId { packet.caller, packet.entry });
-    return found != flows_.end() && found->second.busy
+    return found != flows_.end() && found->second.busy && continues(found->second, packet)
         && now - found->second.lastNewDataAt >= upstream.health.answerTimeout;
 }
 
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -312,6 +312,8 @@
     const DirectoryEntry *findEntry(const Endpoint &address) const;
     std::shared_ptr<TrackedUpstream> findTagged(FlowTag tag, const DirectoryEntry &entry) const;
     std::shared_ptr<TrackedUpstream> findUpstream(const FlowPacket &packet, const DirectoryEntry &entry) const;
+    /// Whether @p packet belongs to @p flow, not to another flow of the caller on the same port. Precondition: @p
+    /// packet is no SYN.
     static bool continues(const Flow &flow, const FlowPacket &packet);
     /// Whether @p syn is a copy of the SYN that started @p flow.
     static bool isCopyOfSyn(const Flow &flow, const FlowPacket &syn);
