Keep queued requests of two flows on one port apart

When a caller gave up a request queued at a VM and used its port again, the SYN of the new flow was queued behind the earlier one and dropped with it at the earlier one's time, so that the new flow didn't open.

Cause: WaitingRequests compared caller and entry only. Now packets also have to match the queued request's sequence and acknowledgement numbers, and a SYN discards the queued request of an earlier flow on its port. HeldPackets compares sequence numbers already; a test shows that.

Evidence: ReplacesAQueuedSynByThatOfALaterFlowOnItsPort, DropsTheRequestOfAnEarlierFlowOnTheSamePort and WaitingRequestsTest.TellsFlowsOnTheSamePortApart failed with the comparison before (the latter two with an empty dropEarlierFlow()), and pass now. HeldPacketsTest.TellsFlowsOnTheSamePortApart passed before.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -207,6 +207,9 @@
         }
         waiting_.drop(packet);
     }
+    if (packet.syn) {
+        waiting_.dropEarlierFlow(packet);
+    }
     const bool mayQueue = !waiting_.isFull() && !isDraining();
     const TaggedDecision decision = router_.route(
         packet, { .viewIsFresh = mayReset(packet, waited, now), .mayQueue = mayQueue, .waited = waited }, now);
--- a/routing/waiting_requests.cpp
+++ b/routing/waiting_requests.cpp
@@ -1,5 +1,7 @@
 #include "routing/waiting_requests.h"
 
+#include "routing/sequence_number.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,11 +10,25 @@
 namespace
 {
 
-bool isSameFlow(const FlowPacket &left, const FlowPacket &right)
+bool isSamePort(const FlowPacket &left, const FlowPacket &right)
 {
     return left.caller == right.caller && left.entry == right.entry;
 }
 
+// Flows on the same port have unrelated sequence numbers. Copies of a SYN have the same one.
+bool isSameFlow(const FlowPacket &left, const FlowPacket &right)
+{
+    if (!isSamePort(left, right)) {
+        return false;
+    }
+    if (left.syn && right.syn) {
+        return left.sequence == right.sequence;
+    }
+    const bool haveAcknowledged = left.ack && right.ack;
+    return isNear(left.sequence, right.sequence, maxSequenceGap)
+        && (!haveAcknowledged || isNear(left.acknowledged, right.acknowledged, maxSequenceGap));
+}
+
 bool isCopy(const FlowPacket &left, const FlowPacket &right)
 {
     return left.sequence == right.sequence && left.syn == right.syn && left.fin == right.fin
@@ -92,6 +108,14 @@
     }
 }
 
+void WaitingRequests::dropEarlierFlow(const FlowPacket &syn)
+{
+    std::erase_if(requests_, [&](const WaitingRequest &request) {
+        const FlowPacket &head = request.packets.front().head;
+        return isSamePort(head, syn) && !isSameFlow(head, syn);
+    });
+}
+
 std::vector<ServiceId> WaitingRequests::services() const
 {
     std::vector<ServiceId> all;
--- a/routing/waiting_requests.h
+++ b/routing/waiting_requests.h
@@ -86,6 +86,9 @@
     /// Discards the request of the packet's flow, if one is queued.
     void drop(const FlowPacket &packet);
 
+    /// Discards the queued request of an earlier flow on the same port as the flow that @p syn starts, if there is one.
+    void dropEarlierFlow(const FlowPacket &syn);
+
     /// Services with queued requests.
     std::vector<ServiceId> services() const;
 
--- a/tests/node/tagged_node_test.cpp
+++ b/tests/node/tagged_node_test.cpp
@@ -434,6 +434,31 @@
     EXPECT_EQ(node.waitingRequests(), 0U);
 }
 
+// A caller that gave up a queued SYN may use its port again. The SYN of the new flow must not be taken for a packet of
+// the earlier one, and the earlier one must not be forwarded any more.
+TEST_F(TaggedNodeTest, ReplacesAQueuedSynByThatOfALaterFlowOnItsPort)
+{
+    answer(DirectoryPage {
+        .items = { catalogueItem(1, 10s), upstreamItem(1, 2) }, .more = false, .lastKey = {}, .asOf = { 3 } });
+    routeSyn(1);
+    routeSyn(2);
+    EXPECT_TRUE(std::holds_alternative<QueuePacket>(routeSyn(3)));
+    now += 500ms;
+    FlowPacket later;
+    later.caller = { .address = { 0x64400001 }, .port = { 3 } };
+    later.entry = entry;
+    later.sequence = 0x40000000;
+    later.syn = true;
+    EXPECT_TRUE(std::holds_alternative<QueuePacket>(node.handlePacket(later, now, events)));
+    EXPECT_EQ(node.waitingRequests(), 1U);
+    now += AdmissionSettings {}.openingTimeout - 500ms;
+    EXPECT_TRUE(node.takeDequeued(now, events).empty()) << "the later SYN times out later";
+    now += 500ms;
+    const auto dequeued = node.takeDequeued(now, events);
+    ASSERT_EQ(dequeued.size(), 1U);
+    EXPECT_EQ(dequeued.front().packet.head, later);
+}
+
 // A queued request must be dequeued when an answer brings its service below the limit; acknowledgements are never
 // queued.
 TEST_F(TaggedNodeTest, DequeuesARequestWhenAnAnswerArrives)
--- a/tests/routing/held_packets_test.cpp
+++ b/tests/routing/held_packets_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_TRUE(held.empty());
 }
 
+// The SYN of a new flow must not be taken for a copy of an earlier SYN from the same port.
+TEST(HeldPacketsTest, TellsFlowsOnTheSamePortApart)
+{
+    HeldPackets held(10);
+    const TimePoint now { 100s };
+    const FlowPacket earlier = syn(1, 1);
+    FlowPacket later = earlier;
+    later.sequence += 1000;
+    EXPECT_TRUE(held.add(earlier, {}, now));
+    EXPECT_TRUE(held.add(later, {}, now + 100ms));
+    const auto packets = held.takeAll();
+    ASSERT_EQ(packets.size(), 2U);
+    EXPECT_EQ(packets[1].packet.head, later);
+}
+
 // The memory of a VM that starts is bounded; a packet that was taken may be held again.
 TEST(HeldPacketsTest, IsBounded)
 {
--- a/tests/routing/waiting_requests_test.cpp
+++ b/tests/routing/waiting_requests_test.cpp
@@ -105,6 +105,41 @@
     EXPECT_EQ(waiting.size(), 1U);
 }
 
+// The SYN of a new flow must not be queued behind the request of an earlier flow on the same port, whose caller no
+// longer waits for it. Other flows must stay.
+TEST_F(WaitingRequestsTest, DropsTheRequestOfAnEarlierFlowOnTheSamePort)
+{
+    add(1);
+    add(2);
+    FlowPacket later = syn(1, 1);
+    later.sequence += 0x40000000;
+    EXPECT_FALSE(waiting.contains(later));
+    waiting.append(later, {});
+    waiting.dropEarlierFlow(later);
+    EXPECT_EQ(waiting.size(), 1U);
+    EXPECT_TRUE(waiting.contains(syn(1, 2)));
+}
+
+// A copy of a queued SYN, and data of a flow whose SYN or request is queued, belong to the queued request; data of
+// another flow on the same port doesn't.
+TEST_F(WaitingRequestsTest, TellsFlowsOnTheSamePortApart)
+{
+    add(1);
+    EXPECT_TRUE(waiting.contains(synCopy(syn(1, 1), 1)));
+    waiting.dropEarlierFlow(synCopy(syn(1, 1), 1));
+    EXPECT_TRUE(waiting.contains(data(syn(1, 1), FlowTag { 7 }, 0, 0x70000000)));
+    FlowPacket earlier = syn(1, 1);
+    earlier.sequence += 0x40000000;
+    const FlowPacket request = data(earlier, FlowTag { 7 }, 0, 1);
+    EXPECT_FALSE(waiting.contains(request));
+    waiting.drop(request);
+    EXPECT_EQ(next(), 1);
+    waiting.add({ .service = ledger, .sentAt = now, .lateAt = now + 1s, .expiresAt = now + 2s }, request, {}, now);
+    waiting.dropEarlierFlow(synCopy(earlier, 2));
+    EXPECT_TRUE(waiting.contains(data(earlier, FlowTag { 7 }, 100, 1)));
+    EXPECT_FALSE(waiting.contains(data(earlier, FlowTag { 7 }, 100, 0x40000000)));
+}
+
 // A flow that its caller resets must leave the queue.
 TEST_F(WaitingRequestsTest, DropsAFlow)
 {
