Count no progress for answers that arrived through another VM

A test shows that a slow request at an upstream that serves is reset as ended_upstream when the upstream has the address of one that crashed and a flow of the crashed one returned to the VM.

Cause: the first packet of a flow that returns acknowledges answers which arrived while another VM forwarded the flow, maybe before its upstream crashed. This VM counted that as progress now. Of two upstreams with one address, the one that progressed last has it, so that the successor lost its address to the crashed one: its overdue requests were reset, and new flows went to the crashed one. The time since the flow's last request here also counted as a latency of its service.

Now an acknowledgement counts only if this VM forwarded all data before the packet, or if the packet carries no data and doesn't end the flow, since callers send such a one as soon as the answer arrives.

Evidence: KeepsFlowsOfASuccessorWhenAFlowOfTheCrashedUpstreamReturns failed on the code before (reset of the slow request, next flow placed at the crashed upstream), and passes now. CountsProgressOfAFlowThatReturnedBeforeItsAnswer passed before and now.

Not covered: a flow whose last request passed through this VM, and only its answer through another one, looks the same as one whose acknowledgement was lost, and still counts as progress.

--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -129,8 +129,14 @@
     if (packet.ack && isAfter(packet.acknowledged, flow.acknowledged)) {
         flow.acknowledged = packet.acknowledged;
         flow.unansweredCounted = false;
-        recordProgress(flow.upstream->health, now);
-        endRequest(flow, true, now);
+        // Data that this VM didn't forward passed through another VM, where its answer may have arrived long ago. Only
+        // an acknowledgement without data is sent as soon as the answer arrives.
+        const bool isAnswerToRecord = !isAfter(packet.sequence, flow.nextSequence);
+        const bool isPureAck = packet.dataBytes == 0 && !packet.fin && !packet.reset;
+        if (isAnswerToRecord || isPureAck) {
+            recordProgress(flow.upstream->health, now);
+        }
+        endRequest(flow, isAnswerToRecord, now);
     }
     if (packet.dataBytes == 0) {
         return false;
--- a/tests/routing/flow_record_test.cpp
+++ b/tests/routing/flow_record_test.cpp
@@ -177,5 +177,37 @@
     EXPECT_TRUE(router.usage().empty());
 }
 
+// An answer that a flow acknowledged through another VM before its upstream crashed must not show, when the flow
+// returns, that this upstream still has its address: flows of the upstream that has it now would be reset.
+TEST_F(FlowRecordTest, KeepsFlowsOfASuccessorWhenAFlowOfTheCrashedUpstreamReturns)
+{
+    route(data(earlier, tagOf(1), 0, unrelated));
+    route(pureAck(earlier, 100, unrelated + 500));
+    now += 1s;
+    auto successor = upstream(9, ledger, home, 7);
+    successor.upstream.tunnelEndpoint = upstream(1, ledger, home).upstream.tunnelEndpoint;
+    successor.knownSince = now;
+    setUpstreams({ upstream(1, ledger, home), successor });
+    now += 1s;
+    const FlowTag successorTag = flowTagOf(UpstreamId { 9 }, Incarnation { 7 });
+    const FlowPacket slowRequest = data(syn(5, 5), successorTag, 0, 1);
+    EXPECT_TRUE(route(slowRequest));
+    now += PassiveHealthSettings {}.minAnswerTimeout;
+    EXPECT_TRUE(route(data(earlier, tagOf(1), 200, unrelated + 1000)))
+        << "the second answer was acknowledged elsewhere";
+    EXPECT_TRUE(route(slowRequest));
+    EXPECT_EQ(route(syn(3, nextPort++))->upstream, UpstreamId { 9 });
+}
+
+// An acknowledgement that a flow sends on its own shows an answer that has just arrived, even if the request passed
+// through another VM.
+TEST_F(FlowRecordTest, CountsProgressOfAFlowThatReturnedBeforeItsAnswer)
+{
+    route(data(earlier, tagOf(1), 0, unrelated));
+    ejectFirstUpstream();
+    route(pureAck(earlier, 200, unrelated + 1000));
+    EXPECT_FALSE(isFirstEjected());
+}
+
 } // namespace
 } // namespace boragelug
