Add a mix of the fault soak in which many upstreams are overloaded

Change: the mix `overload`. For 2 s to 6 s, now and then, 30 % to 80 % of the upstreams answer 300 ms to 900 ms late, drop 20 % to 60 % of the packets that VMs send to them, and ignore TCP connections in 30 % to 80 % of the intervals of 300 ms, while callers open five times as many flows and VMs are stopped, started and reloaded. Upstreams keep their flows and serve what reaches them, so that none of this is recorded as a disturbance. A report also says how often an invariant was violated.

What this costs when upstreams do crash was not measured.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -30,6 +30,7 @@
 constexpr std::array<FaultTarget, 4> pathTargets {
     FaultTarget::PlannedVm, FaultTarget::Path, FaultTarget::Path, FaultTarget::Reachability
 };
+constexpr std::array<FaultTarget, 2> overloadTargets { FaultTarget::PlannedVm, FaultTarget::Overload };
 
 std::span<const FaultTarget> targetsOf(FaultMix mix)
 {
@@ -46,6 +47,8 @@
         return reachabilityTargets;
     case FaultMix::Paths:
         return pathTargets;
+    case FaultMix::Overload:
+        return overloadTargets;
     }
     return targets;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -20,7 +20,8 @@
     Lifetime, ///< An upstream starts again under its id, or its record is replaced by a late or foreign one.
     Answers, ///< Some upstreams answer late.
     Reachability, ///< A running upstream loses its record, ignores checks, or another record names its address.
-    Path ///< Packets of a VM to the store or an upstream, or of an upstream to callers, are lost.
+    Path, ///< Packets of a VM to the store or an upstream, or of an upstream to callers, are lost.
+    Overload ///< Many upstreams answer late and drop some of the packets and connections that reach them.
 };
 
 /// Which faults a plan consists of.
@@ -30,7 +31,8 @@
     LateAnswers, ///< Planned work while upstreams answer late.
     Records, ///< Planned work while upstreams start again under their ids, and odd records are written.
     Reachability, ///< Planned work while upstreams are cut off from the store or from checks.
-    Paths ///< The same, and single paths between VMs, upstreams, callers and the store are cut.
+    Paths, ///< The same, and single paths between VMs, upstreams, callers and the store are cut.
+    Overload ///< Planned work on VMs while many upstreams are overloaded.
 };
 
 /// One fault of a plan. What exactly happens is drawn from the fault's own seed, so that it doesn't depend on the
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -83,11 +83,13 @@
 
 void InvariantChecker::report(const std::string &invariant, const std::string &detail, TimePoint now)
 {
-    const bool isReported = std::any_of(
+    const auto known = std::find_if(
         violations_.begin(), violations_.end(), [&](const Violation &v) { return v.invariant == invariant; });
-    if (!isReported) {
-        violations_.push_back({ .at = now - start_, .invariant = invariant, .detail = detail });
+    if (known != violations_.end()) {
+        ++known->count;
+        return;
     }
+    violations_.push_back({ .at = now - start_, .invariant = invariant, .detail = detail });
 }
 
 } // namespace boragelug::soak
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -33,12 +33,13 @@
     std::size_t maxDescriptors = 3900;
 };
 
-/// The first violation of an invariant in a run.
+/// The first violation of an invariant in a run, and how many there were.
 struct Violation
 {
     Duration at {};
     std::string invariant;
     std::string detail;
+    std::size_t count = 1;
 };
 
 /// The caller's endpoint and the entry of a flow.
@@ -104,7 +105,7 @@
     /// one of the two was disturbed within Bounds::undisturbedTime.
     void checkUpstreamReset(const FlowEndpoints &flow, std::uint64_t upstream, TimePoint now);
 
-    /// Records a violation; ignored if @p invariant was already violated.
+    /// Records a violation; only counted if @p invariant was already violated.
     void report(const std::string &invariant, const std::string &detail, TimePoint now);
 
     const std::vector<Violation> &violations() const { return violations_; }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -29,7 +29,7 @@
   -v, --vms=N            VMs (6)
   -w, --network=N        second number of the loopback addresses, 16 to 240 (77)
   -m, --mix=NAME         which faults: unplanned, planned, late-answers, records,
-                         reachability, paths (unplanned)
+                         reachability, paths, overload (unplanned)
   -u, --upstreams=N      upstreams (10)
   -f, --flows=N          flows of each of the 8 callers (12)
   -b, --sabotage=NAME    breaks a stand-in: bytes, withhold, reset, service, deaf; the run has to find it
@@ -70,7 +70,8 @@
                                  { "late-answers", FaultMix::LateAnswers },
                                  { "records", FaultMix::Records },
                                  { "reachability", FaultMix::Reachability },
-                                 { "paths", FaultMix::Paths } },
+                                 { "paths", FaultMix::Paths },
+                                 { "overload", FaultMix::Overload } },
                                name);
 }
 
@@ -170,7 +171,8 @@
     }
     for (const Violation &violation : report.violations) {
         std::cout << "  broken at " << std::chrono::duration<double>(violation.at).count()
-                  << " s: " << violation.invariant << ": " << violation.detail << '\n';
+                  << " s: " << violation.invariant << ": " << violation.detail << " (" << violation.count
+                  << " in all)\n";
     }
     for (const std::string &fault : report.faults) {
         std::cout << "  fault at " << fault << '\n';
--- a/soak/simulated_upstream.cpp
+++ b/soak/simulated_upstream.cpp
@@ -72,7 +72,7 @@
         return;
     }
     const std::size_t vm = environment_.vmNumber(from);
-    if (environment_.isCutOff(vm)) {
+    if (environment_.isLost(vm)) {
         return;
     }
     const TimePoint now = environment_.now();
--- a/soak/simulated_upstream.h
+++ b/soak/simulated_upstream.h
@@ -34,8 +34,8 @@
         std::function<std::pair<std::string, std::optional<TimePoint>>(const Endpoint &entry)> findEntry;
         /// The number of the VM at an address.
         std::function<std::size_t(const Endpoint &vm)> vmNumber;
-        /// Whether packets of the VM with this number are lost on their way to upstreams.
-        std::function<bool(std::size_t vm)> isCutOff;
+        /// Whether a packet of the VM with this number is lost on its way to the upstream. Called once for each packet.
+        std::function<bool(std::size_t vm)> isLost;
     };
 
     /// @p incarnation is the start time that the upstream's record contains.
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -381,6 +381,9 @@
     case FaultTarget::Path:
         injectPathFault(random);
         return;
+    case FaultTarget::Overload:
+        injectOverload(random);
+        return;
     }
 }
 
--- a/soak/soak_simulation.cpp
+++ b/soak/soak_simulation.cpp
@@ -35,6 +35,7 @@
 constexpr double longPauseChance = 0.1;
 constexpr double frequentLongPauseChance = 0.4;
 constexpr std::size_t itemsPerPage = 10;
+constexpr std::size_t overloadFlowFactor = 5; // Flows of a caller during an overload, in relation to other times.
 constexpr Duration finalOutage = 1s; // From the kill of all VMs at the end until their restart.
 
 double longPauseChanceOf(FaultMix mix)
@@ -171,11 +172,11 @@
             return {};
         },
         .vmNumber = [](const Endpoint &vm) { return vm.address.value & 0xffU; },
-        .isCutOff =
+        .isLost =
             [this, id](std::size_t vm) {
                 const auto pair = cutPairs_.find({ vm, id });
                 return now() < vms_.at(vm - 1).cutFromUpstreamsUntil
-                    || (pair != cutPairs_.end() && now() < pair->second);
+                    || (pair != cutPairs_.end() && now() < pair->second) || isDroppedByOverload(id);
             },
     };
     const bool mislabeled = plan_.sabotage == Sabotage::Service && id == 1;
@@ -381,8 +382,9 @@
     for (const Entry &entry : entries_) {
         addresses.push_back(entry.address); // Removed ones too: callers keep opening flows to them.
     }
+    const std::size_t flows = plan_.flowsPerCaller * (overloads_.empty() ? 1 : overloadFlowFactor);
     for (SimulatedCaller &simulatedCaller : callers_) {
-        simulatedCaller.tick(plan_.flowsPerCaller, addresses, now());
+        simulatedCaller.tick(flows, addresses, now());
     }
 }
 
--- a/soak/soak_simulation.h
+++ b/soak/soak_simulation.h
@@ -101,6 +101,15 @@
         TimePoint cutFromUpstreamsUntil;
     };
 
+    /// An upstream whose receive queue and accept queue are full at times.
+    struct Overload
+    {
+        /// Of each packet that VMs send to it.
+        double packetDropChance = 0;
+        /// That it ignores all connections until its accept queue changes again.
+        double connectionDropChance = 0;
+    };
+
     struct Entry
     {
         Endpoint address;
@@ -143,6 +152,11 @@
     void injectLateAnswers(Random &random);
     void injectReachabilityFault(Random &random);
     void injectPathFault(Random &random);
+    void injectOverload(Random &random);
+    /// Whether an upstream drops the packet that just arrived because it is overloaded.
+    bool isDroppedByOverload(std::uint64_t upstream);
+    /// Makes each overloaded upstream ignore or accept connections, and repeats that until the overload ends.
+    void changeAcceptQueues(TimePoint end, Random random);
     /// Cuts a VM off from the store alone.
     void cutOffFromStore(std::size_t vm, Duration length);
     /// Removes the record of a running upstream, which writes it again after @p length.
@@ -177,6 +191,8 @@
     std::map<std::uint64_t, TimePoint> muteUntil_;
     /// Upstreams that answer late until the time given.
     std::map<std::uint64_t, std::pair<TimePoint, Duration>> lateAnswers_;
+    /// Upstreams that are overloaded now.
+    std::map<std::uint64_t, Overload> overloads_;
     std::uint64_t catalogueVersion_ = 0;
     std::uint64_t packetCount_ = 0;
     /// Packets per thousand that the fabric drops, and also that it duplicates.
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -53,5 +53,16 @@
     EXPECT_EQ(targets, expected);
 }
 
+// Overload excuses no reset, so that its plans must not contain faults that do.
+TEST(FaultPlan, KeepsOverloadApartFromFaultsThatExcuseAReset)
+{
+    std::set<FaultTarget> targets;
+    for (const PlannedFault &fault : planFaults(1, 60s, FaultMix::Overload)) {
+        targets.insert(fault.target);
+    }
+    const std::set<FaultTarget> expected { FaultTarget::PlannedVm, FaultTarget::Overload };
+    EXPECT_EQ(targets, expected);
+}
+
 } // namespace
 } // namespace boragelug::soak
