--- a/routing/silence_evidence.h
+++ b/routing/silence_evidence.h
@@ -10,7 +10,7 @@
 namespace boragelug
 {
 
-/// Thresholds of SilenceEvidence.
+/// Thresholds of isSilenceConfirmed().
 struct SilenceSettings
 {
     /// A VM resets no flow of a service as silent before it has seen requests to it for this long: until then, other
