Reject requests while the queue takes longer than half of its time to serve

Cause: all SYNs were queued until they timed out after 1.2 s. Their callers then opened other flows, and nothing tells such a SYN from that of a new request. As the newest go first, up to half of what was served was late already.

Change: a SYN is reset on arrival if the queued requests that are as important take longer than 0.6 s to serve. Then at most half as many SYNs time out as requests are served. A caller that is reset at once retries while it can still be answered in time.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -241,7 +241,10 @@
 TaggedNode::queueSyn(const FlowPacket &syn, const QueuePacket &queued, TimePoint now, std::span<const std::byte> bytes)
 {
     const ServicePace pace { .limit = queued.limit, .meanLatencyRatio = queued.meanLatencyRatio };
-    if (waiting_.isFull() || isHopeless(queued.attributes, waiting_.countAhead(queued.attributes, now), pace, now)) {
+    const WaitingRequestAttributes &attributes = queued.attributes;
+    const std::size_t asImportant = waiting_.countAsImportant(attributes.service, attributes.priority);
+    if (waiting_.isFull() || isHopeless(attributes, waiting_.countAhead(attributes, now), pace, now)
+        || isBacklogged(attributes, asImportant, pace, settings_.routing.admission.maxBacklog)) {
         return router_.resetSyn(TaggedRefusal::ConcurrencyLimit);
     }
     waiting_.add(queued.attributes, syn, bytes, now);
--- a/routing/request_rejection.cpp
+++ b/routing/request_rejection.cpp
@@ -16,4 +16,12 @@
     return expectedWait(ahead, attributes.objective, pace) >= attributes.expiresAt - now;
 }
 
+bool isBacklogged(const WaitingRequestAttributes &attributes,
+                  std::size_t queued,
+                  const ServicePace &pace,
+                  Duration maxBacklog)
+{
+    return expectedWait(queued, attributes.objective, pace) >= maxBacklog;
+}
+
 } // namespace boragelug
--- a/routing/request_rejection.h
+++ b/routing/request_rejection.h
@@ -41,4 +41,11 @@
 /// once. Thread-safe.
 bool isHopeless(const WaitingRequestAttributes &attributes, std::size_t ahead, const ServicePace &pace, TimePoint now);
 
+/// Whether the @p queued requests that are as important as a new one take longer to serve than @p maxBacklog.
+/// Thread-safe.
+bool isBacklogged(const WaitingRequestAttributes &attributes,
+                  std::size_t queued,
+                  const ServicePace &pace,
+                  Duration maxBacklog);
+
 } // namespace boragelug
--- a/routing/service_admission.h
+++ b/routing/service_admission.h
@@ -55,6 +55,10 @@
     /// A copy of a SYN that doesn't arrive for this long after it is due went to another VM.
     Duration synCopyMargin = std::chrono::milliseconds(100);
     Duration openingTimeout = std::chrono::milliseconds(1200);
+    /// New requests are rejected while those queued take longer than this to serve. Callers whose SYNs time out open
+    /// other flows, which look like new requests and displace those: at half of openingTimeout, at most half as many
+    /// SYNs time out as requests are served.
+    Duration maxBacklog = std::chrono::milliseconds(600);
     /// Request timeout of callers at an entry for which the catalogue holds none.
     Duration defaultTimeout = std::chrono::seconds(2);
     /// The latency of one answer counts in the mean as at most this multiple of its objective: one slow upstream
--- a/routing/waiting_requests.cpp
+++ b/routing/waiting_requests.cpp
@@ -123,6 +123,14 @@
     return static_cast<std::size_t>(count);
 }
 
+std::size_t WaitingRequests::countAsImportant(ServiceId service, std::uint32_t priority) const
+{
+    const auto count = std::count_if(requests_.begin(), requests_.end(), [&](const WaitingRequest &request) {
+        return request.attributes.service == service && request.attributes.priority <= priority;
+    });
+    return static_cast<std::size_t>(count);
+}
+
 WaitingRequest WaitingRequests::take(Requests::iterator request)
 {
     WaitingRequest taken = std::move(*request);
--- a/routing/waiting_requests.h
+++ b/routing/waiting_requests.h
@@ -85,6 +85,9 @@
     /// Number of queued requests that would be dequeued before a new one with @p attributes.
     std::size_t countAhead(const WaitingRequestAttributes &attributes, TimePoint now) const;
 
+    /// Number of queued requests of @p service that are at least as important as one of @p priority.
+    std::size_t countAsImportant(ServiceId service, std::uint32_t priority) const;
+
     /// Dequeues the requests that have timed out.
     std::vector<WaitingRequest> takeExpired(TimePoint now);
 
--- a/tests/routing/waiting_requests_test.cpp
+++ b/tests/routing/waiting_requests_test.cpp
@@ -34,15 +34,27 @@
     /// Whether a request that arrives now, with a latency objective of 250 ms, is to be rejected.
     bool arrivalIsHopeless(const ServicePace &pace, std::uint32_t priority = 2) const
     {
-        const WaitingRequestAttributes attributes { .service = ledger,
-                                                    .sentAt = now,
-                                                    .lateAt = now + 150ms,
-                                                    .expiresAt = now + 1200ms,
-                                                    .objective = 250ms,
-                                                    .priority = priority };
+        const WaitingRequestAttributes attributes = arrival(priority);
         return isHopeless(attributes, waiting.countAhead(attributes, now), pace, now);
     }
 
+    /// Whether it is to be rejected because the queue is too long.
+    bool arrivalIsBacklogged(const ServicePace &pace, std::uint32_t priority) const
+    {
+        const std::size_t queued = waiting.countAsImportant(ledger, priority);
+        return isBacklogged(arrival(priority), queued, pace, 600ms);
+    }
+
+    WaitingRequestAttributes arrival(std::uint32_t priority) const
+    {
+        return { .service = ledger,
+                 .sentAt = now,
+                 .lateAt = now + 150ms,
+                 .expiresAt = now + 1200ms,
+                 .objective = 250ms,
+                 .priority = priority };
+    }
+
     std::uint16_t next(bool includeLate = true)
     {
         const ServiceRoom room { .zones = { { .zone = home, .inTime = true, .late = includeLate } } };
@@ -131,6 +143,33 @@
     EXPECT_FALSE(arrivalIsHopeless(pace, 3));
 }
 
+// Callers whose SYNs time out in the queue retry with SYNs that look new. In an overload, requests must be rejected
+// while the queue would take longer than the limit, also if newer ones go first: at 32 requests a second, 19 take 0.6
+// s.
+TEST_F(WaitingRequestsTest, RejectsArrivalsBehindABacklogOfLateRequests)
+{
+    const ServicePace pace { .limit = 4, .meanLatencyRatio = 0.5 };
+    for (std::uint16_t port = 1; port <= 18; ++port) {
+        add(port, 300ms);
+    }
+    EXPECT_FALSE(arrivalIsBacklogged(pace, 2));
+    add(19, 300ms);
+    EXPECT_TRUE(arrivalIsBacklogged(pace, 2));
+    EXPECT_FALSE(arrivalIsHopeless(pace)) << "it would go first";
+}
+
+// In an overload, a backlog of less important requests must not reject a more important one.
+TEST_F(WaitingRequestsTest, CountsNoLessImportantRequestsAsBacklog)
+{
+    const ServicePace pace { .limit = 4, .meanLatencyRatio = 0.5 };
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+        add(port, 300ms, 2);
+    }
+    EXPECT_FALSE(arrivalIsBacklogged(pace, 1));
+    EXPECT_TRUE(arrivalIsBacklogged(pace, 3));
+    EXPECT_EQ(waiting.countAsImportant(ServiceId { 2 }, 2), 0U) << "another service";
+}
+
 // Before a service has answered, nothing is known to be hopeless.
 TEST_F(WaitingRequestsTest, RejectsNothingWhileThePaceIsUnknown)
 {
