Compare the latency in a zone with the lowest of the service in any zone

What callers saw: in an overload of a large fleet, a VM had 20 requests in progress while its share of the slots was 3, and answers took 0.55 to 0.65 of the objective at the upstreams, where requests can't be reordered.

Cause: a limit shrinks when the mean latency is twice its lowest value, and each zone had a lowest value of its own. A VM sends its first requests to another zone when its own is overloaded, and by then the others are too: the lowest mean there was 0.38 and 0.51 of the objective (0.16 in the VM's own zone), so that the limits of those zones went on growing, to 14 of the 20 requests (seen in logs of a VM during a burst). Besides, the lowest value of an average of ten answers is well below the usual latency.

Change: a zone's threshold follows the lowest mean of the service in any zone, of an average of fifty answers.

ComparesLatencyWithTheLowestOfAnyZone and LowestMeanIsCloseToTheUsualLatency fail without it.

--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -91,6 +92,8 @@
     using Key = std::pair<ServiceId, ZoneId>;
 
     ServiceAdmission &admission(const Key &key);
+    /// Lowest mean latency of the service in its other zones.
+    std::optional<double> lowestMeanElsewhere(const Key &key) const;
 
     AdmissionSettings settings_;
     std::map<Key, double> slots_;
--- a/routing/service_admission.cpp
+++ b/routing/service_admission.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace boragelug
 {
 namespace
 {
 
-/// Answers after which the moving average no longer depends on its initial value.
+/// Answers before which their average isn't compared: single latencies spread widely.
 constexpr std::uint32_t lowestMeanSamples = 30;
 
 } // namespace
@@ -33,7 +34,7 @@
     return lastTicket_;
 }
 
-void ServiceAdmission::finish(Ticket ticket, TimePoint now, double slowness)
+void ServiceAdmission::finish(Ticket ticket, TimePoint now, double slowness, std::optional<double> lowestMeanElsewhere)
 {
     const auto found = requests_.find(ticket);
     if (found == requests_.end()) {
@@ -43,7 +44,7 @@
     const std::chrono::duration<double> objective = found->second.objective;
     requests_.erase(found);
     if (objective.count() > 0) {
-        addSample(std::min(latency / objective / slowness, settings_.maxLatencyRatio), now);
+        addSample(std::min(latency / objective / slowness, settings_.maxLatencyRatio), lowestMeanElsewhere, now);
     }
 }
 
@@ -64,38 +65,40 @@
     }
 }
 
-double ServiceAdmission::shrinkThreshold() const
+double ServiceAdmission::shrinkThreshold(std::optional<double> lowestMeanElsewhere) const
 {
-    if (!lowestMean_) {
-        return std::min(settings_.minShrinkThreshold, settings_.shrinkThreshold);
-    }
-    const double byGrowth = std::max(*lowestMean_ * settings_.maxLatencyGrowth, settings_.minShrinkThreshold);
-    return std::min(byGrowth, settings_.shrinkThreshold);
+    // A mean that isn't known compares lower than any other.
+    const auto lowest = lowestMean_ && lowestMeanElsewhere ? std::min(lowestMean_, lowestMeanElsewhere)
+                                                           : std::max(lowestMean_, lowestMeanElsewhere);
+    const double byGrowth = lowest.value_or(0) * settings_.maxLatencyGrowth;
+    return std::min(std::max(byGrowth, settings_.minShrinkThreshold), settings_.shrinkThreshold);
 }
 
-void ServiceAdmission::updateLowestMean(TimePoint now)
+void ServiceAdmission::updateLowestMean(double latencyRatio, TimePoint now)
 {
-    if (++answers_ < lowestMeanSamples) {
+    answers_ += answers_ < std::numeric_limits<std::uint32_t>::max() ? 1 : 0;
+    const double weight = std::max(1.0 / answers_, settings_.lowestMeanSampleWeight);
+    longMean_ += weight * (latencyRatio - longMean_);
+    if (answers_ < lowestMeanSamples) {
         return;
     }
-    answers_ = lowestMeanSamples;
-    if (!lowestMean_ || meanLatencyRatio_ < *lowestMean_) {
-        lowestMean_ = meanLatencyRatio_;
+    if (!lowestMean_ || longMean_ < *lowestMean_) {
+        lowestMean_ = longMean_;
     } else {
         const std::chrono::duration<double> elapsed = now - lowestMeanUpdatedAt_;
         const std::chrono::duration<double> timeConstant = settings_.lowestMeanTimeConstant;
-        *lowestMean_ += (meanLatencyRatio_ - *lowestMean_) * (1 - std::exp(-elapsed / timeConstant));
+        *lowestMean_ += (longMean_ - *lowestMean_) * (1 - std::exp(-elapsed / timeConstant));
     }
     lowestMeanUpdatedAt_ = now;
 }
 
-void ServiceAdmission::addSample(double latencyRatio, TimePoint now)
+void ServiceAdmission::addSample(double latencyRatio, std::optional<double> lowestMeanElsewhere, TimePoint now)
 {
     meanLatencyRatio_ += settings_.sampleWeight * (latencyRatio - meanLatencyRatio_);
-    updateLowestMean(now);
+    updateLowestMean(latencyRatio, now);
     ++answersSinceShrink_;
     const auto inProgress = static_cast<double>(requests_.size()) + 1;
-    const double shrinkAbove = shrinkThreshold();
+    const double shrinkAbove = shrinkThreshold(lowestMeanElsewhere);
     const double growBelow = shrinkAbove * settings_.growThresholdRatio;
     if (meanLatencyRatio_ > shrinkAbove && answersSinceShrink_ >= std::min(limit_, inProgress)) {
         // A limit above what is in progress bounds nothing.
--- a/routing/service_admission.h
+++ b/routing/service_admission.h
@@ -25,9 +25,9 @@
     /// The limit also shrinks when the mean latency exceeds this multiple of the lowest recent mean: the rest is time
     /// in the queues of upstreams, where requests can no longer be reordered.
     double maxLatencyGrowth = 2;
-    /// Lower bound of the threshold by maxLatencyGrowth, as a fraction of the objective: queues that are short compared
-    /// to the objective keep slots busy between requests. Applies too until the lowest mean is known.
-    double minShrinkThreshold = 0.42;
+    /// Lower bound of the threshold by maxLatencyGrowth, as a fraction of the objective. The rest of the objective is
+    /// the time for which requests may wait at the VM; see lateAfterRatio. Applies too until the lowest mean is known.
+    double minShrinkThreshold = 0.5;
     /// The limit grows while the mean latency is below this fraction of the threshold above which it shrinks.
     double growThresholdRatio = 0.92;
     /// Time constant with which the lowest mean rises towards the present one, so that a service that has become slower
@@ -39,14 +39,18 @@
     double shrinkFactor = 0.9;
     /// Weight of one answer in the moving average: about the last ten count.
     double sampleWeight = 0.1;
+    /// Weight of one answer in the longer average whose lowest value is the lowest mean: about the last fifty count.
+    /// The lowest value of the short average would be well below the mean latency without load.
+    double lowestMeanSampleWeight = 0.02;
     /// A request that takes longer than this multiple of its objective no longer counts as in progress: its upstream
     /// may be silent, and the answer is late already.
     double expiryFactor = 1.5;
     /// Requests that will be late anyway are forwarded only below this fraction of the limit. The rest is reserved for
     /// requests of this and other VMs that can still be answered in time.
     double lateLimitRatio = 0.75;
-    /// A request that has waited for this fraction of its objective will be late: serving it takes the rest.
-    double lateAfterRatio = 0.6;
+    /// A request that has waited for this fraction of its objective will be late: at minShrinkThreshold, serving it
+    /// takes the rest.
+    double lateAfterRatio = 0.5;
     /// Times since a caller's first SYN: of its two retransmissions, and after which a SYN is no longer forwarded.
     /// Callers abandon opening a flow after 1.4 s, so that a SYN forwarded later than openingTimeout would open a flow
     /// that no caller uses.
@@ -94,14 +98,18 @@
     Ticket begin(Duration objective, TimePoint now);
 
     /// Ends a request whose answer arrived, and adapts the limit to its latency. @p slowness is the known latency of
-    /// its upstream as a multiple of that of the service's other upstreams.
-    void finish(Ticket ticket, TimePoint now, double slowness = 1);
+    /// its upstream as a multiple of that of the service's other upstreams. @p lowestMeanElsewhere is the lowest recent
+    /// mean latency of upstreams that do the same work but count for other limits, as a fraction of the objective.
+    void
+    finish(Ticket ticket, TimePoint now, double slowness = 1, std::optional<double> lowestMeanElsewhere = std::nullopt);
 
     /// Ends a request that gets no answer from this service; the limit is unchanged.
     void abandon(Ticket ticket);
 
     /// Mean latency of recent answers as a fraction of their objectives.
     double meanLatencyRatio() const { return meanLatencyRatio_; }
+    /// Lowest recent mean latency as a fraction of the objectives; std::nullopt until enough answers were counted.
+    std::optional<double> lowestMean() const { return lowestMean_; }
     double limit() const { return limit_; }
     std::size_t inProgress() const { return requests_.size(); }
 
@@ -113,16 +121,18 @@
     };
 
     void evictExpired(TimePoint now);
-    void addSample(double latencyRatio, TimePoint now);
-    void updateLowestMean(TimePoint now);
+    void addSample(double latencyRatio, std::optional<double> lowestMeanElsewhere, TimePoint now);
+    void updateLowestMean(double latencyRatio, TimePoint now);
     /// Mean latency above which the limit shrinks, as a fraction of the objective.
-    double shrinkThreshold() const;
+    double shrinkThreshold(std::optional<double> lowestMeanElsewhere) const;
 
     AdmissionSettings settings_;
     double limit_;
     /// Moving average of the latency of answers as a fraction of their objectives.
     double meanLatencyRatio_ = 0;
-    /// Lowest recent value of meanLatencyRatio_, since at least lowestMeanSamples answers were counted.
+    /// Average over more answers than meanLatencyRatio_, and its lowest recent value, which is known after
+    /// lowestMeanSamples answers.
+    double longMean_ = 0;
     std::optional<double> lowestMean_;
     TimePoint lowestMeanUpdatedAt_;
     std::uint32_t answers_ = 0;
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -46,6 +46,26 @@
     EXPECT_FALSE(admission.room(service, now).allows(ZoneId {}, false));
 }
 
+// In an overload, a VM sends its first requests to other zones. Their limits must shrink as those of its own zone,
+// where it knows the latency without load.
+TEST_F(RequestAdmissionTest, ComparesLatencyWithTheLowestOfAnyZone)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 }, ZoneSlots { service, away, 8 } });
+    for (int i = 0; i < 100; ++i) {
+        const auto ticket = admission.begin(service, home, 250ms, now);
+        now += 45ms;
+        admission.finish(ticket, 1, now);
+    }
+    for (int i = 0; i < 100; ++i) {
+        const auto ticket = admission.begin(service, away, 250ms, now);
+        now += 140ms;
+        admission.finish(ticket, 1, now);
+    }
+    const std::size_t before = admission.totals(service).inProgress;
+    fill(away);
+    EXPECT_EQ(admission.totals(service).inProgress - before, 2U) << "the lowest limit";
+}
+
 // Guards a zone whose evacuation was withdrawn: requests of its open flows were counted while it had no slots.
 TEST_F(RequestAdmissionTest, RaisesTheLimitOfAZoneThatGetsSlots)
 {
--- a/tests/routing/service_admission_test.cpp
+++ b/tests/routing/service_admission_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace boragelug
 {
 namespace
@@ -86,6 +88,17 @@
     EXPECT_GT(admission.limit(), 16);
 }
 
+// The lowest mean must be close to the usual latency, not to that of a few quick answers: a limit that shrinks at
+// normal load makes callers wait while upstreams are idle.
+TEST_F(ServiceAdmissionTest, LowestMeanIsCloseToTheUsualLatency)
+{
+    ServiceAdmission admission(AdmissionSettings {}, 8);
+    for (int i = 0; i < 500; ++i) {
+        answer(admission, i % 20 < 10 ? 50ms : 150ms);
+    }
+    EXPECT_GT(*admission.lowestMean(), 0.8 * (100.0 / 250));
+}
+
 // A limit that isn't used must not grow without bound, because it would have no effect when an overload begins.
 TEST_F(ServiceAdmissionTest, GrowsOnlyWhenUsed)
 {
