Let limits grow by the same amount whatever their value

Callers of the former waited or were rejected while the latter forwarded at once.

Cause: limits grew by a step with each answer, hence in proportion to their value, and shrink in proportion too, so that unequal limits stay unequal.

Change: growth while as many answers arrive as the limit allows requests is at most 1.5, whatever the limit.

LimitsOfVmsWithEqualLoadApproachEachOther fails without it; routing and node tests pass.

--- a/routing/service_admission.cpp
+++ b/routing/service_admission.cpp
@@ -105,7 +105,8 @@
         limit_ = std::max(std::min(limit_, inProgress) * settings_.shrinkFactor, settings_.minLimit);
         answersSinceShrink_ = 0;
     } else if (meanLatencyRatio_ < growBelow && inProgress >= limit_ / 2) {
-        limit_ += settings_.growthStep * (1 - meanLatencyRatio_ / growBelow);
+        const double step = std::min(settings_.growthStep, settings_.growthPerRound / limit_);
+        limit_ += step * (1 - meanLatencyRatio_ / growBelow);
     }
 }
 
--- a/routing/service_admission.h
+++ b/routing/service_admission.h
@@ -33,8 +33,10 @@
     /// Time constant with which the lowest mean rises towards the present one, so that a service that has become slower
     /// isn't limited for long. It falls at once.
     Duration lowestMeanTimeConstant = std::chrono::seconds(60);
-    /// Largest growth of the limit per answer; a limit of 16 doubles within about a hundred answers.
+    /// Largest growth of the limit per answer, and while as many answers arrive as the limit allows requests. The
+    /// latter is the same for all limits, so that the limits of VMs with equal load approach each other.
     double growthStep = 0.25;
+    double growthPerRound = 1.5;
     /// The limit is multiplied by this when it shrinks.
     double shrinkFactor = 0.9;
     /// Weight of one answer in the moving average: about the last ten count.
--- a/tests/routing/service_admission_test.cpp
+++ b/tests/routing/service_admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
 #include <vector>
 
 namespace boragelug
@@ -88,6 +89,27 @@
     EXPECT_GT(admission.limit(), 16);
 }
 
+// In an overload, callers of a VM whose limit is low must not wait for long while another VM's limit stays high. Two
+// VMs share upstreams whose latency grows with the requests in progress.
+TEST_F(ServiceAdmissionTest, LimitsOfVmsWithEqualLoadApproachEachOther)
+{
+    ServiceAdmission low(AdmissionSettings {}, 10);
+    ServiceAdmission high(AdmissionSettings {}, 40);
+    for (int round = 0; round < 400; ++round) {
+        std::vector<std::pair<ServiceAdmission *, ServiceAdmission::Ticket>> requests;
+        for (ServiceAdmission *vm : { &low, &high }) {
+            while (vm->isBelowLimit(false, now)) {
+                requests.emplace_back(vm, vm->begin(objective, now));
+            }
+        }
+        now += 1ms * requests.size();
+        for (const auto &[vm, ticket] : requests) {
+            vm->finish(ticket, now);
+        }
+    }
+    EXPECT_LT(high.limit(), 1.5 * low.limit());
+}
+
 // The lowest mean must be close to the usual latency, not to that of a few quick answers: a limit that shrinks at
 // normal load makes callers wait while upstreams are idle.
 TEST_F(ServiceAdmissionTest, LowestMeanIsCloseToTheUsualLatency)
