Let VMs learn from each other which upstreams are silent

What callers saw: when upstreams fell silent and their addresses were used again while the directory was slow, requests of the next seconds were late; a SYN that goes to such an upstream is lost for 1.4 s.

Cause: each VM found out for itself. 76 VMs lost a SYN at each of 30 upstreams before their checks failed.

Change: a VM whose check of an upstream of its own zone failed counts it as slow as an upstream can be, and the exchange of speeds tells the others within a second. A VM that finds half of the zone silent tells nobody.

Tests: CountsASilentUpstreamAsSlowHereAndAtTheRelay, SharesTheSilenceOfAMinorityOfItsOwnZone.

--- a/routing/silence_evidence.cpp
+++ b/routing/silence_evidence.cpp
@@ -64,4 +64,24 @@
         && !isDoubtful(upstream, listed, health, settings, now) && progressedInZone(upstream, listed, settings, now);
 }
 
+bool isSilenceShared(const ObservedUpstream &upstream,
+                     const std::vector<ObservedUpstream> &listed,
+                     ZoneId ownZone,
+                     const PassiveHealthSettings &health,
+                     TimePoint now)
+{
+    if (upstream.zone != ownZone || !isSilent(*upstream.health, health, now)) {
+        return false;
+    }
+    std::size_t upstreams = 0;
+    std::size_t silent = 0;
+    for (const ObservedUpstream &other : listed) {
+        if (other.service == upstream.service && other.zone == ownZone) {
+            ++upstreams;
+            silent += isSilent(*other.health, health, now) ? 1 : 0;
+        }
+    }
+    return 2 * silent < upstreams;
+}
+
 } // namespace boragelug
--- a/routing/tagged_flows.cpp
+++ b/routing/tagged_flows.cpp
@@ -47,7 +47,7 @@
         flow.objective * admission_.meanLatencyRatio(upstream.service, upstream.zone);
     recordRequest(flow.upstream->health,
                   settings_.health,
-                  std::chrono::duration_cast<Duration>(meanLatency * speeds_.slowness(flow.upstream->tag, now)),
+                  std::chrono::duration_cast<Duration>(meanLatency * speeds_.expectedSlowness(flow.upstream->tag, now)),
                   now);
 }
 
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -342,12 +342,17 @@
     if (!seemsSilent(upstream.health, settings_.health, now)) {
         return false;
     }
-    std::vector<ObservedUpstream> listed;
-    listed.reserve(upstreams_.size());
-    for (const auto &[id, other] : upstreams_) {
-        listed.push_back(observed(*other));
+    return isSilenceConfirmed(observed(upstream), observedUpstreams(), settings_.health, settings_.silence, now);
+}
+
+std::vector<ObservedUpstream> TaggedRouter::observedUpstreams() const
+{
+    std::vector<ObservedUpstream> all;
+    all.reserve(upstreams_.size());
+    for (const auto &[id, upstream] : upstreams_) {
+        all.push_back(observed(*upstream));
     }
-    return isSilenceConfirmed(observed(upstream), listed, settings_.health, settings_.silence, now);
+    return all;
 }
 
 ObservedUpstream TaggedRouter::observed(const TrackedUpstream &upstream) const
@@ -380,7 +385,11 @@
     if (found == upstreams_.end() || found->second->status.upstream.incarnation != check.incarnation) {
         return;
     }
+    const TrackedUpstream &upstream = *found->second;
     boragelug::recordCheckResult(found->second->health, answered, earlyChecks_, now);
+    if (!answered && isSilenceShared(observed(upstream), observedUpstreams(), view_->selfZone, settings_.health, now)) {
+        speeds_.recordSilence(upstream.tag, now);
+    }
 }
 
 std::vector<SilentFlow> TaggedRouter::takeSilentFlows(TimePoint now)
--- a/routing/tagged_router.h
+++ b/routing/tagged_router.h
@@ -362,6 +362,7 @@
     bool mayHaveEnded(const TrackedUpstream &upstream, TimePoint now) const;
     bool isConfirmedSilent(const TrackedUpstream &upstream, TimePoint now) const;
     ObservedUpstream observed(const TrackedUpstream &upstream) const;
+    std::vector<ObservedUpstream> observedUpstreams() const;
     void discardFlow(const FlowPacket &packet);
     /// Discards the flow; @p reason is EndedUpstream or SilentUpstream.
     ResetFlow makeReset(TaggedRefusal reason, const FlowPacket &packet, const TrackedUpstream &upstream, TimePoint now);
--- a/routing/upstream_speeds.cpp
+++ b/routing/upstream_speeds.cpp
@@ -74,6 +74,14 @@
     }
 }
 
+void UpstreamSpeeds::recordSilence(FlowTag upstream, TimePoint now)
+{
+    const auto found = estimates_.find(upstream);
+    if (settings_.enabled && found != estimates_.end()) {
+        add(found->second, settings_.silenceAnswers, settings_.silenceAnswers * settings_.maxLatencyRatio, now);
+    }
+}
+
 void UpstreamSpeeds::add(Estimate &estimate, std::uint32_t answers, double latencySum, TimePoint now)
 {
     fade(estimate, now);
--- a/routing/upstream_speeds.h
+++ b/routing/upstream_speeds.h
@@ -37,6 +37,10 @@
     double minAnswersToCompare = 3;
     /// One answer counts as at most this multiple of the usual latency of its entry.
     double maxLatencyRatio = 12;
+    /// An upstream that is found silent counts as having given this many answers at maxLatencyRatio.
+    std::uint32_t silenceAnswers = 4;
+    /// Answers of an upstream that is slower than this aren't expected later: it may be silent.
+    double maxExpectedSlowness = 6;
     /// Weight of one answer in the usual latency of an entry, which doesn't count before there are minEntryAnswers.
     double entrySampleWeight = 0.02;
     std::uint32_t minEntryAnswers = 8;
@@ -78,6 +82,9 @@
     /// Records an answer that a caller of this VM got @p latency after its request was forwarded.
     void recordAnswer(FlowTag upstream, const Endpoint &entry, Duration latency, TimePoint now);
 
+    /// Records that an active check found @p upstream silent: it counts as slow as an upstream can be.
+    void recordSilence(FlowTag upstream, TimePoint now);
+
     /// Adds the observations of a follower. Those of unknown upstreams and invalid ones are ignored.
     void addObservations(std::span<const SpeedObservation> observations, TimePoint now);
 
@@ -101,6 +108,13 @@
     /// Latency of @p upstream as a multiple of that of the others of its service; 1 if it is not slower or unknown.
     double slowness(FlowTag upstream, TimePoint now);
 
+    /// The multiple of the usual latency after which an answer of @p upstream is expected.
+    double expectedSlowness(FlowTag upstream, TimePoint now)
+    {
+        const double known = slowness(upstream, now);
+        return known <= settings_.maxExpectedSlowness ? known : 1;
+    }
+
 private:
     struct Estimate
     {
--- a/tests/routing/silence_evidence_test.cpp
+++ b/tests/routing/silence_evidence_test.cpp
@@ -59,6 +59,21 @@
     PassiveHealth *silent_ = nullptr;
 };
 
+// Other VMs must learn which upstreams crashed, but not from a VM whose own network path may be at fault.
+TEST_F(SilenceEvidenceTest, SharesTheSilenceOfAMinorityOfItsOwnZone)
+{
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "one of two";
+    add(ledger, home);
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now));
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, away, settings, now)) << "of another zone";
+    addSilent(inspection);
+    add(ledger, away);
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now)) << "another service, another zone";
+    addSilent(ledger);
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "two of four";
+    EXPECT_FALSE(isSilenceShared(listed[1], listed, home, settings, now)) << "it progresses";
+}
+
 // Callers of an upstream that crashed must be told.
 TEST_F(SilenceEvidenceTest, ConfirmsTheSilenceOfASingleUpstream)
 {
--- a/tests/routing/upstream_speeds_test.cpp
+++ b/tests/routing/upstream_speeds_test.cpp
@@ -55,6 +55,30 @@
     TimePoint now { 100s };
 };
 
+// A silent upstream gives no answers: callers of each VM would have to find out for themselves.
+TEST_F(UpstreamSpeedsTest, CountsASilentUpstreamAsSlowHereAndAtTheRelay)
+{
+    answer(20, 1);
+    speeds.takeObservations(now);
+    speeds.recordSilence(slow, now);
+    UpstreamSpeeds relay(enabled());
+    know(relay);
+    std::vector<SpeedObservation> usual;
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        usual.push_back({ .upstream = FlowTag { i }, .answers = 4, .latencySum = 4 });
+    }
+    relay.addObservations(usual, now);
+    relay.addObservations(speeds.takeObservations(now), now);
+    now += 100ms;
+    EXPECT_GT(speeds.slowness(slow, now), 2);
+    EXPECT_GT(relay.slowness(slow, now), 2);
+    EXPECT_EQ(relay.slowness(fast, now), 1);
+    EXPECT_EQ(speeds.expectedSlowness(slow, now), 1) << "callers of open flows must learn of the silence as early";
+    now += 10s;
+    answer(1, 1);
+    EXPECT_EQ(speeds.slowness(slow, now), 1) << "nothing is known any more";
+}
+
 // Guards against a slow upstream that goes unnoticed, and one that stays avoided after it has become faster.
 TEST_F(UpstreamSpeedsTest, FollowsAnUpstreamDownAndUp)
 {
