Don't prefer the own zone while its upstreams are slow

What callers saw: when all upstreams of a zone turned five times slower, a sixth of the zone's requests was late for as long as it lasted, though the other zones had room.

Cause: slow upstreams take part in 3 % of the comparisons each. Of 16 candidates five are of the VM's own zone, so that one of them takes part in a seventh of the comparisons, and then costs less than any idle one of another zone.

Change: if no local candidate is fast, being local is no advantage.

LeavesAZoneThatIsSlowAsAWhole fails without it (1,386 of 10,000 flows in the slow zone).

--- a/routing/tagged_placement.cpp
+++ b/routing/tagged_placement.cpp
@@ -65,7 +65,14 @@
 std::optional<std::size_t>
 placeFlow(std::span<const PlacementCandidate> candidates, const TaggedPlacementSettings &settings, Random &random)
 {
-    const auto best = leastCost(candidates, settings, random, [&](const PlacementCandidate &candidate) {
+    const auto isFastAndLocal = [&settings](const PlacementCandidate &candidate) {
+        return candidate.local && !candidate.ejected && candidate.slowness <= settings.fullShareSlowness;
+    };
+    TaggedPlacementSettings weights = settings;
+    if (std::none_of(candidates.begin(), candidates.end(), isFastAndLocal)) {
+        weights.remoteCost = 0;
+    }
+    const auto best = leastCost(candidates, weights, random, [&](const PlacementCandidate &candidate) {
         const double share = comparisonShare(candidate.slowness, settings);
         return share >= 1 || random.chance(share);
     });
--- a/routing/tagged_placement.h
+++ b/routing/tagged_placement.h
@@ -67,7 +67,7 @@
 
 /// Index of the candidate with the lowest cost, ties broken at random; std::nullopt if there is no candidate. Slow
 /// candidates take part at random, by their comparisonShare(), and all of them if the others are ejected or at their
-/// limit.
+/// limit. If all local candidates are slow, being local is no advantage.
 std::optional<std::size_t>
 placeFlow(std::span<const PlacementCandidate> candidates, const TaggedPlacementSettings &settings, Random &random);
 
--- a/tests/routing/upstream_speeds_test.cpp
+++ b/tests/routing/upstream_speeds_test.cpp
@@ -221,6 +221,26 @@
     EXPECT_EQ(placeFlow(candidates, {}, random), 1U);
 }
 
+// If all upstreams of a zone turn slow, its callers must be served by the other zones, and still show when they
+// recover.
+TEST(SlowPlacement, LeavesAZoneThatIsSlowAsAWhole)
+{
+    std::vector<PlacementCandidate> candidates(16);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].slots = 2;
+        candidates[i].local = i < 5;
+        candidates[i].slowness = candidates[i].local ? 5 : 1;
+    }
+    Random random(1);
+    int slowPlacements = 0;
+    constexpr int placements = 10'000;
+    for (int i = 0; i < placements; ++i) {
+        slowPlacements += *placeFlow(candidates, {}, random) < 5 ? 1 : 0;
+    }
+    EXPECT_LT(slowPlacements, placements * 0.03);
+    EXPECT_GT(slowPlacements, placements * 0.003);
+}
+
 // Guards a service of which all upstreams are slow, or which has one only: they still get all flows.
 TEST(SlowPlacement, PlacesWhenAllAreSlow)
 {
