Share the silence of an upstream only if others of its zone progress

What callers saw: a VM that reaches none of the upstreams of its zone, but has few requests, made the other VMs avoid healthy upstreams, one after the other.

Cause: a VM tells nobody if half of the upstreams of its zone seem silent. With few requests, it checks only some of them within the 2.5 s for which a failed check counts, so that it never finds that many.

Change: a failed check counts for others only if an upstream of the zone, of any service, has made progress since the check was requested.

SharesNoSilenceWhileNothingOfItsZoneProgresses fails without it. The effect on fleets with upstreams that did crash was not measured.

--- a/routing/silence_evidence.cpp
+++ b/routing/silence_evidence.cpp
@@ -73,6 +73,12 @@
     if (upstream.zone != ownZone || !isSilent(*upstream.health, health, now)) {
         return false;
     }
+    const bool pathWorks = std::any_of(listed.begin(), listed.end(), [&](const ObservedUpstream &other) {
+        return other.zone == ownZone && other.health->lastProgressAt > upstream.health->checkRequestedAt;
+    });
+    if (!pathWorks) {
+        return false;
+    }
     std::size_t upstreams = 0;
     std::size_t silent = 0;
     for (const ObservedUpstream &other : listed) {
--- a/tests/routing/silence_evidence_test.cpp
+++ b/tests/routing/silence_evidence_test.cpp
@@ -74,6 +74,23 @@
     EXPECT_FALSE(isSilenceShared(listed[1], listed, home, settings, now)) << "it progresses";
 }
 
+// Guards healthy upstreams against a VM that reaches none of them, but has so few requests that only one of many seems
+// silent at a time.
+TEST_F(SilenceEvidenceTest, SharesNoSilenceWhileNothingOfItsZoneProgresses)
+{
+    for (int i = 0; i < 8; ++i) {
+        add(ledger, home);
+    }
+    listed.erase(listed.begin() + 1);
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now));
+    add(ledger, away).lastProgressAt = now;
+    PassiveHealth &other = add(inspection, home);
+    other.lastProgressAt = silentUpstream().checkRequestedAt;
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "none since the check";
+    other.lastProgressAt = now - 300ms;
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now));
+}
+
 // Callers of an upstream that crashed must be told.
 TEST_F(SilenceEvidenceTest, ConfirmsTheSilenceOfASingleUpstream)
 {
