Estimate the time in the queue from zones with upstreams only

What callers saw: after a zone that was slow had been evacuated, VMs rejected requests of the service as long as they ran, though the queue was short.

Cause: whether a request is rejected depends on the highest mean latency of the service's zones and on the sum of their limits. Both included zones that have no upstreams any more, whose latency stays what it was.

Change: only zones in which the service has upstreams count.

TotalsOmitZonesWithoutUpstreams fails without it.

--- a/routing/request_admission.cpp
+++ b/routing/request_admission.cpp
@@ -103,8 +103,11 @@
          it != admissions_.end() && it->first.first == service;
          ++it) {
         totals.inProgress += it->second.inProgress();
-        totals.limit += it->second.limit();
-        totals.meanLatencyRatio = std::max(totals.meanLatencyRatio, it->second.meanLatencyRatio());
+        // The latency of a zone that gets no requests any more stays what it was.
+        if (slots_.contains(it->first)) {
+            totals.limit += it->second.limit();
+            totals.meanLatencyRatio = std::max(totals.meanLatencyRatio, it->second.meanLatencyRatio());
+        }
     }
     return totals;
 }
--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -76,7 +76,8 @@
     /// Mean latency of the recent answers of @p service in @p zone as a fraction of their objectives.
     double meanLatencyRatio(ServiceId service, ZoneId zone);
 
-    /// Requests in progress, their limit and the highest mean latency of any zone, over all zones of @p service.
+    /// Requests in progress over all zones of @p service, their limit and the highest mean latency over the zones in
+    /// which it has upstreams.
     struct Totals
     {
         std::size_t inProgress = 0;
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -22,6 +22,15 @@
         : admission(AdmissionSettings {})
     { }
 
+    void answer(ZoneId zone, Duration latency, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto ticket = admission.begin(service, zone, 250ms, now);
+            now += latency;
+            admission.finish(ticket, 1, now);
+        }
+    }
+
     void fill(ZoneId zone)
     {
         while (admission.room(service, now).allows(zone, false)) {
@@ -66,6 +75,17 @@
     EXPECT_EQ(admission.totals(service).inProgress - before, 2U) << "the lowest limit";
 }
 
+// Guards callers against being rejected because of a zone that was slow before it was evacuated, until the VM restarts.
+TEST_F(RequestAdmissionTest, TotalsOmitZonesWithoutUpstreams)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 }, ZoneSlots { service, away, 8 } });
+    answer(home, 50ms, 100);
+    answer(away, 500ms, 100);
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 } });
+    EXPECT_NEAR(admission.totals(service).meanLatencyRatio, 0.2, 0.01);
+    EXPECT_EQ(admission.totals(service).limit, 8);
+}
+
 // Guards a zone whose evacuation was withdrawn: requests of its open flows were counted while it had no slots.
 TEST_F(RequestAdmissionTest, RaisesTheLimitOfAZoneThatGetsSlots)
 {
