Estimate the time in the queue from the pace of all zones

What callers saw: while one zone of a service was slow, requests were rejected though the queue was short.

Cause: the time that queued requests take was estimated from the limits of all zones and the mean latency of the slowest one, as if all were that slow. With limits of 18 and 2 and latencies of 0.2 and 2 times the objective, that was 10 requests per objective instead of 91.

Change: the estimate adds up what the zones serve. Zones without answers count as quick as the others.

TotalsGiveThePaceOfAllZonesTogether fails without it.

--- a/routing/request_admission.cpp
+++ b/routing/request_admission.cpp
@@ -99,6 +99,9 @@
 RequestAdmission::Totals RequestAdmission::totals(ServiceId service) const
 {
     Totals totals;
+    // Over the zones with known latency.
+    double limit = 0;
+    double pace = 0;
     for (auto it = admissions_.lower_bound({ service, ZoneId {} });
          it != admissions_.end() && it->first.first == service;
          ++it) {
@@ -106,9 +109,13 @@
         // The latency of a zone that gets no requests any more stays what it was.
         if (slots_.contains(it->first)) {
             totals.limit += it->second.limit();
-            totals.meanLatencyRatio = std::max(totals.meanLatencyRatio, it->second.meanLatencyRatio());
+            if (const double ratio = it->second.meanLatencyRatio(); ratio > 0) {
+                limit += it->second.limit();
+                pace += it->second.limit() / ratio;
+            }
         }
     }
+    totals.meanLatencyRatio = pace > 0 ? limit / pace : 0;
     return totals;
 }
 
--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -76,8 +76,8 @@
     /// Mean latency of the recent answers of @p service in @p zone as a fraction of their objectives.
     double meanLatencyRatio(ServiceId service, ZoneId zone);
 
-    /// Requests in progress over all zones of @p service, their limit and the highest mean latency over the zones in
-    /// which it has upstreams.
+    /// Requests in progress over all zones of @p service. Over the zones in which it has upstreams, their limit and the
+    /// mean latency with which as many requests are served as the zones serve together; 0 before the first answer.
     struct Totals
     {
         std::size_t inProgress = 0;
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -86,6 +86,17 @@
     EXPECT_EQ(admission.totals(service).limit, 8);
 }
 
+// Guards callers against being rejected as if all zones were as slow as one that serves few of the requests.
+TEST_F(RequestAdmissionTest, TotalsGiveThePaceOfAllZonesTogether)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 18 }, ZoneSlots { service, away, 2 } });
+    answer(home, 50ms, 100);
+    EXPECT_NEAR(admission.totals(service).meanLatencyRatio, 0.2, 0.01) << "nothing is known of the other zone";
+    answer(away, 500ms, 100);
+    const auto totals = admission.totals(service);
+    EXPECT_NEAR(totals.limit / totals.meanLatencyRatio, 18 / 0.2 + 2 / 2.0, 1);
+}
+
 // Guards a zone whose evacuation was withdrawn: requests of its open flows were counted while it had no slots.
 TEST_F(RequestAdmissionTest, RaisesTheLimitOfAZoneThatGetsSlots)
 {
