Forget the lowest mean latency of zones without answers

What callers saw: after a service had become slower for good, at 0.5 to 0.65 of its objective, limits stayed at their lower bound, and requests waited or were rejected though the upstreams had room.

Cause: a limit shrinks when the mean latency is twice the lowest of the service in any zone. That of a zone changes only with answers there, so that a zone that gets no requests, or has no upstreams any more, kept the value from before.

ForgetsTheLowestMeanOfAZoneWithoutAnswers fails without it.

--- a/routing/request_admission.cpp
+++ b/routing/request_admission.cpp
@@ -67,18 +67,18 @@
 void RequestAdmission::finish(const Ticket &ticket, double slowness, TimePoint now)
 {
     const Key key { ticket.service, ticket.zone };
-    admission(key).finish(ticket.number, now, slowness, lowestMeanElsewhere(key));
+    admission(key).finish(ticket.number, now, slowness, lowestMeanElsewhere(key, now));
 }
 
 // A VM may send its first requests to a zone when the others are overloaded already. The lowest mean latency there
 // would be that of the overload.
-std::optional<double> RequestAdmission::lowestMeanElsewhere(const Key &key) const
+std::optional<double> RequestAdmission::lowestMeanElsewhere(const Key &key, TimePoint now) const
 {
     std::optional<double> lowest;
     for (auto it = admissions_.lower_bound({ key.first, ZoneId {} });
          it != admissions_.end() && it->first.first == key.first;
          ++it) {
-        const auto mean = it->second.lowestMean();
+        const auto mean = it->second.lowestMean(now);
         if (it->first != key && mean && (!lowest || *mean < *lowest)) {
             lowest = mean;
         }
--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -93,8 +93,8 @@
     using Key = std::pair<ServiceId, ZoneId>;
 
     ServiceAdmission &admission(const Key &key);
-    /// Lowest mean latency of the service in its other zones.
-    std::optional<double> lowestMeanElsewhere(const Key &key) const;
+    /// Lowest recent mean latency of the service in its other zones.
+    std::optional<double> lowestMeanElsewhere(const Key &key, TimePoint now) const;
 
     AdmissionSettings settings_;
     std::map<Key, double> slots_;
--- a/routing/service_admission.cpp
+++ b/routing/service_admission.cpp
@@ -65,6 +65,11 @@
     }
 }
 
+std::optional<double> ServiceAdmission::lowestMean(TimePoint now) const
+{
+    return now - lowestMeanUpdatedAt_ < settings_.lowestMeanTimeConstant ? lowestMean_ : std::nullopt;
+}
+
 double ServiceAdmission::shrinkThreshold(std::optional<double> lowestMeanElsewhere) const
 {
     // A mean that isn't known compares lower than any other.
--- a/routing/service_admission.h
+++ b/routing/service_admission.h
@@ -110,8 +110,9 @@
 
     /// Mean latency of recent answers as a fraction of their objectives.
     double meanLatencyRatio() const { return meanLatencyRatio_; }
-    /// Lowest recent mean latency as a fraction of the objectives; std::nullopt until enough answers were counted.
-    std::optional<double> lowestMean() const { return lowestMean_; }
+    /// Lowest recent mean latency as a fraction of the objectives; std::nullopt until enough answers were counted, and
+    /// after AdmissionSettings::lowestMeanTimeConstant without an answer.
+    std::optional<double> lowestMean(TimePoint now) const;
     double limit() const { return limit_; }
     std::size_t inProgress() const { return requests_.size(); }
 
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -97,6 +97,25 @@
     EXPECT_NEAR(totals.limit / totals.meanLatencyRatio, 18 / 0.2 + 2 / 2.0, 1);
 }
 
+// Guards a service that became slower for good: a zone that got no requests since must not hold the limits down.
+TEST_F(RequestAdmissionTest, ForgetsTheLowestMeanOfAZoneWithoutAnswers)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 }, ZoneSlots { service, away, 8 } });
+    answer(away, 45ms, 100);
+    answer(home, 45ms, 100);
+    for (const TimePoint end = now + 180s; now < end;) {
+        std::vector<RequestAdmission::Ticket> tickets;
+        while (admission.room(service, now).allows(home, false) && tickets.size() < 64) {
+            tickets.push_back(admission.begin(service, home, 250ms, now));
+        }
+        now += 138ms;
+        for (const auto &ticket : tickets) {
+            admission.finish(ticket, 1, now);
+        }
+    }
+    EXPECT_GT(admission.totals(service).limit, 8 + 16);
+}
+
 // Guards a zone whose evacuation was withdrawn: requests of its open flows were counted while it had no slots.
 TEST_F(RequestAdmissionTest, RaisesTheLimitOfAZoneThatGetsSlots)
 {
--- a/tests/routing/service_admission_test.cpp
+++ b/tests/routing/service_admission_test.cpp
@@ -118,7 +118,7 @@
     for (int i = 0; i < 500; ++i) {
         answer(admission, i % 20 < 10 ? 50ms : 150ms);
     }
-    EXPECT_GT(*admission.lowestMean(), 0.8 * (100.0 / 250));
+    EXPECT_GT(*admission.lowestMean(now), 0.8 * (100.0 / 250));
 }
 
 // A limit that isn't used must not grow without bound, because it would have no effect when an overload begins.
