Estimate the time in the queue from the objectives of its requests

What callers saw: at a service whose entries have different objectives, requests with a long objective were rejected though the queue was short or empty, and those with a short one queued behind a backlog of others.

Cause: the time that queued requests take was estimated as if all of them had the objective of the one that arrives, which also counted as queued itself. At a limit of 2 and a mean latency of 0.65 of the objective, a request with an objective of 2 s was always rejected: it alone took 0.65 s.

Change: the mean objective of the queued requests counts. An empty queue is no backlog. For entries with equal objectives nothing else changes.

EstimatesTheQueueFromTheObjectivesOfItsRequests fails without it; routing tests of the queue and all node tests pass.

--- a/node/tagged_node.cpp
+++ b/node/tagged_node.cpp
@@ -242,9 +242,9 @@
 {
     const ServicePace pace { .limit = queued.limit, .meanLatencyRatio = queued.meanLatencyRatio };
     const WaitingRequestAttributes &attributes = queued.attributes;
-    const std::size_t asImportant = waiting_.countAsImportant(attributes.service, attributes.priority);
+    const QueuedRequests asImportant = waiting_.countAsImportant(attributes.service, attributes.priority);
     if (waiting_.isFull() || isHopeless(attributes, waiting_.countAhead(attributes, now), pace, now)
-        || isBacklogged(attributes, asImportant, pace, settings_.routing.admission.maxBacklog)) {
+        || isBacklogged(asImportant, pace, settings_.routing.admission.maxBacklog)) {
         return router_.resetSyn(TaggedRefusal::ConcurrencyLimit);
     }
     waiting_.add(queued.attributes, syn, bytes, now);
--- a/routing/request_rejection.h
+++ b/routing/request_rejection.h
@@ -34,18 +34,27 @@
     double meanLatencyRatio = 0;
 };
 
-/// Time until a request with @p ahead others before it is dequeued; zero if the pace isn't known. Thread-safe.
-Duration expectedWait(std::size_t ahead, Duration objective, const ServicePace &pace);
+/// Some of the queued requests of a service.
+struct QueuedRequests
+{
+    std::size_t count = 0;
+    /// Sum of the latency objectives of their entries.
+    Duration objectives {};
+};
+
+/// Time until a request with @p objective and @p ahead before it is dequeued; zero if the pace isn't known.
+/// Thread-safe.
+Duration expectedWait(const QueuedRequests &ahead, Duration objective, const ServicePace &pace);
 
-/// Whether a request that arrives with @p ahead others before it times out in the queue, so that its caller is told at
+/// Whether a request that arrives now, with @p ahead before it, times out in the queue, so that its caller is told at
 /// once. Thread-safe.
-bool isHopeless(const WaitingRequestAttributes &attributes, std::size_t ahead, const ServicePace &pace, TimePoint now);
+bool isHopeless(const WaitingRequestAttributes &attributes,
+                const QueuedRequests &ahead,
+                const ServicePace &pace,
+                TimePoint now);
 
 /// Whether the @p queued requests that are as important as a new one take longer to serve than @p maxBacklog.
 /// Thread-safe.
-bool isBacklogged(const WaitingRequestAttributes &attributes,
-                  std::size_t queued,
-                  const ServicePace &pace,
-                  Duration maxBacklog);
+bool isBacklogged(const QueuedRequests &queued, const ServicePace &pace, Duration maxBacklog);
 
 } // namespace boragelug
--- a/routing/waiting_requests.cpp
+++ b/routing/waiting_requests.cpp
@@ -38,6 +38,19 @@
     return leftLate ? left.sentAt < right.sentAt : left.sentAt > right.sentAt;
 }
 
+template<class Predicate>
+QueuedRequests countIf(const std::list<WaitingRequest> &requests, const Predicate &counts)
+{
+    QueuedRequests counted;
+    for (const WaitingRequest &request : requests) {
+        if (counts(request.attributes)) {
+            ++counted.count;
+            counted.objectives += request.attributes.objective;
+        }
+    }
+    return counted;
+}
+
 } // namespace
 
 WaitingRequests::WaitingRequests(const WaitingSettings &settings)
@@ -115,20 +128,18 @@
     return next != requests_.end() ? std::optional(take(next)) : std::nullopt;
 }
 
-std::size_t WaitingRequests::countAhead(const WaitingRequestAttributes &attributes, TimePoint now) const
+QueuedRequests WaitingRequests::countAhead(const WaitingRequestAttributes &attributes, TimePoint now) const
 {
-    const auto count = std::count_if(requests_.begin(), requests_.end(), [&](const WaitingRequest &request) {
-        return request.attributes.service == attributes.service && !precedes(attributes, request.attributes, now);
+    return countIf(requests_, [&](const WaitingRequestAttributes &queued) {
+        return queued.service == attributes.service && !precedes(attributes, queued, now);
     });
-    return static_cast<std::size_t>(count);
 }
 
-std::size_t WaitingRequests::countAsImportant(ServiceId service, std::uint32_t priority) const
+QueuedRequests WaitingRequests::countAsImportant(ServiceId service, std::uint32_t priority) const
 {
-    const auto count = std::count_if(requests_.begin(), requests_.end(), [&](const WaitingRequest &request) {
-        return request.attributes.service == service && request.attributes.priority <= priority;
+    return countIf(requests_, [&](const WaitingRequestAttributes &queued) {
+        return queued.service == service && queued.priority <= priority;
     });
-    return static_cast<std::size_t>(count);
 }
 
 WaitingRequest WaitingRequests::take(Requests::iterator request)
--- a/routing/waiting_requests.h
+++ b/routing/waiting_requests.h
@@ -82,11 +82,11 @@
     /// Dequeues the next request of @p service that may go somewhere by @p room; std::nullopt if there is none.
     std::optional<WaitingRequest> takeNext(ServiceId service, const ServiceRoom &room, TimePoint now);
 
-    /// Number of queued requests that would be dequeued before a new one with @p attributes.
-    std::size_t countAhead(const WaitingRequestAttributes &attributes, TimePoint now) const;
+    /// The queued requests that would be dequeued before a new one with @p attributes.
+    QueuedRequests countAhead(const WaitingRequestAttributes &attributes, TimePoint now) const;
 
-    /// Number of queued requests of @p service that are at least as important as one of @p priority.
-    std::size_t countAsImportant(ServiceId service, std::uint32_t priority) const;
+    /// The queued requests of @p service that are at least as important as one of @p priority.
+    QueuedRequests countAsImportant(ServiceId service, std::uint32_t priority) const;
 
     /// Dequeues the requests that have timed out.
     std::vector<WaitingRequest> takeExpired(TimePoint now);
--- a/tests/routing/waiting_requests_test.cpp
+++ b/tests/routing/waiting_requests_test.cpp
@@ -20,13 +20,13 @@
     { }
 
     /// Queues a request of the flow from @p port, sent @p age ago, with a latency objective of 250 ms.
-    void add(std::uint16_t port, Duration age = 0ms, std::uint32_t priority = 2)
+    void add(std::uint16_t port, Duration age = 0ms, std::uint32_t priority = 2, Duration objective = 250ms)
     {
         const WaitingRequestAttributes attributes { .service = ledger,
                                                     .sentAt = now - age,
                                                     .lateAt = now - age + 150ms,
                                                     .expiresAt = now - age + 1200ms,
-                                                    .objective = 250ms,
+                                                    .objective = objective,
                                                     .priority = priority };
         waiting.add(attributes, syn(1, port), {}, now);
     }
@@ -41,8 +41,7 @@
     /// Whether it is to be rejected because the queue is too long.
     bool arrivalIsBacklogged(const ServicePace &pace, std::uint32_t priority) const
     {
-        const std::size_t queued = waiting.countAsImportant(ledger, priority);
-        return isBacklogged(arrival(priority), queued, pace, 600ms);
+        return isBacklogged(waiting.countAsImportant(ledger, priority), pace, 600ms);
     }
 
     WaitingRequestAttributes arrival(std::uint32_t priority) const
@@ -167,7 +166,27 @@
     }
     EXPECT_FALSE(arrivalIsBacklogged(pace, 1));
     EXPECT_TRUE(arrivalIsBacklogged(pace, 3));
-    EXPECT_EQ(waiting.countAsImportant(ServiceId { 2 }, 2), 0U) << "another service";
+    EXPECT_EQ(waiting.countAsImportant(ServiceId { 2 }, 2).count, 0U) << "another service";
+}
+
+// Entries of one service may have different objectives. How long the queue takes depends on the requests in it, not on
+// the objective of the one that arrives.
+TEST_F(WaitingRequestsTest, EstimatesTheQueueFromTheObjectivesOfItsRequests)
+{
+    const ServicePace pace { .limit = 2, .meanLatencyRatio = 0.65 };
+    WaitingRequestAttributes slow = arrival(2);
+    slow.objective = 2s;
+    const auto isRejected = [&](const WaitingRequestAttributes &attributes) {
+        return isHopeless(attributes, waiting.countAhead(attributes, now), pace, now)
+            || isBacklogged(waiting.countAsImportant(ledger, 2), pace, 600ms);
+    };
+    EXPECT_FALSE(isRejected(slow)) << "nothing is queued";
+    add(1);
+    add(2);
+    EXPECT_FALSE(isRejected(slow)) << "0.25 s";
+    add(3, 0ms, 2, 2s);
+    add(4, 0ms, 2, 2s);
+    EXPECT_TRUE(isRejected(arrival(2))) << "1.8 s";
 }
 
 // Before a service has answered, nothing is known to be hopeless.
