--- a/tests/node/overload_test.cpp
+++ b/tests/node/overload_test.cpp
@@ -94,7 +94,7 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OverloadGoodputTest, ::testing::Values(1, 2));
+INSTANTIATE_TEST_SUITE_P(Seeds, OverloadGoodputTest, ::testing::Values(1, 2, 3, 4, 5));
 
 } // namespace
 } // namespace boragelug
