--- a/routing/request_admission.cpp
+++ b/routing/request_admission.cpp
@@ -67,18 +67,18 @@
 void RequestAdmission::finish(const Ticket &ticket, double slowness, TimePoint now)
 {
     const Key key { ticket.service, ticket.zone };
-    admission(key).finish(ticket.number, now, slowness, lowestMeanElsewhere(key));
+    admission(key).finish(ticket.number, now, slowness, lowestMeanElsewhere(key, now));
 }
 
 // A VM may send its first requests to a zone when the others are overloaded already. The lowest mean latency there
 // would be that of the overload.
-std::optional<double> RequestAdmission::lowestMeanElsewhere(const Key &key) const
+std::optional<double> RequestAdmission::lowestMeanElsewhere(const Key &key, TimePoint now) const
 {
     std::optional<double> lowest;
     for (auto it = admissions_.lower_bound({ key.first, ZoneId {} });
          it != admissions_.end() && it->first.first == key.first;
          ++it) {
-        const auto mean = it->second.lowestMean();
+        const auto mean = it->second.lowestMean(now);
         if (it->first != key && mean && (!lowest || *mean < *lowest)) {
             lowest = mean;
         }
@@ -99,13 +99,23 @@
 RequestAdmission::Totals RequestAdmission::totals(ServiceId service) const
 {
     Totals totals;
+    // Over the zones with known latency.
+    double limit = 0;
+    double pace = 0;
     for (auto it = admissions_.lower_bound({ service, ZoneId {} });
          it != admissions_.end() && it->first.first == service;
          ++it) {
         totals.inProgress += it->second.inProgress();
-        totals.limit += it->second.limit();
-        totals.meanLatencyRatio = std::max(totals.meanLatencyRatio, it->second.meanLatencyRatio());
+        // The latency of a zone that gets no requests any more stays what it was.
+        if (slots_.contains(it->first)) {
+            totals.limit += it->second.limit();
+            if (const double ratio = it->second.meanLatencyRatio(); ratio > 0) {
+                limit += it->second.limit();
+                pace += it->second.limit() / ratio;
+            }
+        }
     }
+    totals.meanLatencyRatio = pace > 0 ? limit / pace : 0;
     return totals;
 }
 
--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -76,7 +76,8 @@
     /// Mean latency of the recent answers of @p service in @p zone as a fraction of their objectives.
     double meanLatencyRatio(ServiceId service, ZoneId zone);
 
-    /// Requests in progress, their limit and the highest mean latency of any zone, over all zones of @p service.
+    /// Requests in progress over all zones of @p service. Over the zones in which it has upstreams, their limit and the
+    /// mean latency with which as many requests are served as the zones serve together; 0 before the first answer.
     struct Totals
     {
         std::size_t inProgress = 0;
@@ -92,8 +93,8 @@
     using Key = std::pair<ServiceId, ZoneId>;
 
     ServiceAdmission &admission(const Key &key);
-    /// Lowest mean latency of the service in its other zones.
-    std::optional<double> lowestMeanElsewhere(const Key &key) const;
+    /// Lowest recent mean latency of the service in its other zones.
+    std::optional<double> lowestMeanElsewhere(const Key &key, TimePoint now) const;
 
     AdmissionSettings settings_;
     std::map<Key, double> slots_;
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -22,6 +22,15 @@
         : admission(AdmissionSettings {})
     { }
 
+    void answer(ZoneId zone, Duration latency, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto ticket = admission.begin(service, zone, 250ms, now);
+            now += latency;
+            admission.finish(ticket, 1, now);
+        }
+    }
+
     void fill(ZoneId zone)
     {
         while (admission.room(service, now).allows(zone, false)) {
@@ -66,6 +75,47 @@
     EXPECT_EQ(admission.totals(service).inProgress - before, 2U) << "the lowest limit";
 }
 
+// Guards callers against being rejected because of a zone that was slow before it was evacuated, until the VM restarts.
+TEST_F(RequestAdmissionTest, TotalsOmitZonesWithoutUpstreams)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 }, ZoneSlots { service, away, 8 } });
+    answer(home, 50ms, 100);
+    answer(away, 500ms, 100);
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 } });
+    EXPECT_NEAR(admission.totals(service).meanLatencyRatio, 0.2, 0.01);
+    EXPECT_EQ(admission.totals(service).limit, 8);
+}
+
+// Guards callers against being rejected as if all zones were as slow as one that serves few of the requests.
+TEST_F(RequestAdmissionTest, TotalsGiveThePaceOfAllZonesTogether)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 18 }, ZoneSlots { service, away, 2 } });
+    answer(home, 50ms, 100);
+    EXPECT_NEAR(admission.totals(service).meanLatencyRatio, 0.2, 0.01) << "nothing is known of the other zone";
+    answer(away, 500ms, 100);
+    const auto totals = admission.totals(service);
+    EXPECT_NEAR(totals.limit / totals.meanLatencyRatio, 18 / 0.2 + 2 / 2.0, 1);
+}
+
+// Guards a service that became slower for good: a zone that got no requests since must not hold the limits down.
+TEST_F(RequestAdmissionTest, ForgetsTheLowestMeanOfAZoneWithoutAnswers)
+{
+    admission.setSlots(std::array { ZoneSlots { service, home, 8 }, ZoneSlots { service, away, 8 } });
+    answer(away, 45ms, 100);
+    answer(home, 45ms, 100);
+    for (const TimePoint end = now + 180s; now < end;) {
+        std::vector<RequestAdmission::Ticket> tickets;
+        while (admission.room(service, now).allows(home, false) && tickets.size() < 64) {
+            tickets.push_back(admission.begin(service, home, 250ms, now));
+        }
+        now += 138ms;
+        for (const auto &ticket : tickets) {
+            admission.finish(ticket, 1, now);
+        }
+    }
+    EXPECT_GT(admission.totals(service).limit, 8 + 16);
+}
+
 // Guards a zone whose evacuation was withdrawn: requests of its open flows were counted while it had no slots.
 TEST_F(RequestAdmissionTest, RaisesTheLimitOfAZoneThatGetsSlots)
 {
