Count a silent upstream as silent whatever it answered before

What callers saw: answers of an upstream that had served normal traffic before it fell silent were expected four times later than usual, so that callers of its open flows learned late.

Cause: the report of silence was averaged with up to eight earlier answers, and the slowness was below the limit above which answers aren't expected later.

Change: the report replaces what the VM knew, and weighs as much as an estimate can, so that earlier answers of other VMs don't hide it at a relay.

--- a/routing/upstream_speeds.cpp
+++ b/routing/upstream_speeds.cpp
@@ -77,9 +77,13 @@
 void UpstreamSpeeds::recordSilence(FlowTag upstream, TimePoint now)
 {
     const auto found = estimates_.find(upstream);
-    if (settings_.enabled && found != estimates_.end()) {
-        add(found->second, settings_.silenceAnswers, settings_.silenceAnswers * settings_.maxLatencyRatio, now);
+    if (!settings_.enabled || found == estimates_.end()) {
+        return;
     }
+    // Answers from before say nothing about an upstream that is silent now.
+    found->second.answers = 0;
+    found->second.latencySum = 0;
+    add(found->second, settings_.silenceAnswers, settings_.silenceAnswers * settings_.maxLatencyRatio, now);
 }
 
 void UpstreamSpeeds::add(Estimate &estimate, std::uint32_t answers, double latencySum, TimePoint now)
--- a/routing/upstream_speeds.h
+++ b/routing/upstream_speeds.h
@@ -38,7 +38,7 @@
     /// One answer counts as at most this multiple of the usual latency of its entry.
     double maxLatencyRatio = 12;
     /// An upstream that is found silent counts as having given this many answers at maxLatencyRatio.
-    std::uint32_t silenceAnswers = 4;
+    std::uint32_t silenceAnswers = 8;
     /// Answers of an upstream that is slower than this aren't expected later: it may be silent.
     double maxExpectedSlowness = 6;
     /// Weight of one answer in the usual latency of an entry, which doesn't count before there are minEntryAnswers.
@@ -82,7 +82,8 @@
     /// Records an answer that a caller of this VM got @p latency after its request was forwarded.
     void recordAnswer(FlowTag upstream, const Endpoint &entry, Duration latency, TimePoint now);
 
-    /// Records that an active check found @p upstream silent: it counts as slow as an upstream can be.
+    /// Records that an active check found @p upstream silent: it counts as slow as an upstream can be, whatever it
+    /// answered before.
     void recordSilence(FlowTag upstream, TimePoint now);
 
     /// Adds the observations of a follower. Those of unknown upstreams and invalid ones are ignored.
