Open flows at cold upstreams if all warm ones are ejected

What callers saw: while all but a few upstreams of a service were in slow start and the others had crashed, all new flows went to the crashed ones until the directory no longer listed them.

Cause: the limit left cold upstreams out as long as the directory listed one that wasn't cold, whether it took flows or not.

Change: if all upstreams that aren't cold are ejected, silent or have lost their address, the VM opens flows at cold ones within its share, the same as if all were cold, so that the bound for the fleet holds whatever other VMs see. Flows beyond the share go to the ejected ones as before.

OpensFlowsAtColdUpstreamsIfAllWarmOnesAreEjected fails without it.

--- a/routing/cold_start_limit.cpp
+++ b/routing/cold_start_limit.cpp
@@ -117,12 +117,27 @@
     if (now >= known.sortedUntil) {
         sortUpstreams(known, now);
     }
-    if (!known.warm.empty()) {
-        return &known.warm;
+    return known.warm.empty() ? &allowedCold(known, now) : &known.warm;
+}
+
+const std::vector<std::size_t> &ColdStartLimit::allowedCold(ServiceId service, TimePoint now)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() || now >= found->second.allWarmAt) {
+        allowed_.clear();
+        return allowed_;
     }
+    if (now >= found->second.sortedUntil) {
+        sortUpstreams(found->second, now);
+    }
+    return allowedCold(found->second, now);
+}
+
+const std::vector<std::size_t> &ColdStartLimit::allowedCold(const Service &known, TimePoint now)
+{
     allowed_.clear();
     if (now - known.limitedSince < settings_.window) {
-        return &allowed_;
+        return allowed_;
     }
     for (const std::size_t index : known.own) {
         const auto placed = lastPlaced_.find(known.upstreams[index].id);
@@ -130,7 +145,7 @@
             allowed_.push_back(index);
         }
     }
-    return &allowed_;
+    return allowed_;
 }
 
 void ColdStartLimit::recordPlaced(UpstreamId upstream, TimePoint now)
--- a/routing/cold_start_limit.h
+++ b/routing/cold_start_limit.h
@@ -53,9 +53,9 @@
  * Limits new flows at cold upstreams so that all VMs of the fleet together stay below what these bear, although no VM
  * knows what others do.
  *
- * While a service has an upstream that isn't cold, its cold ones get no flow. If all are cold, each is used by few VMs,
- * selected by a hash, and by each of them at a fixed rate. Does no I/O and reads no clock. Not synchronized: one thread
- * at a time; times must not go back.
+ * While a service has an upstream that isn't cold, its cold ones get no flow. If all are cold, or the others can't take
+ * flows, each is used by few VMs, selected by a hash, and by each of them at a fixed rate. Does no I/O and reads no
+ * clock. Not synchronized: one thread at a time; times must not go back.
  */
 class ColdStartLimit
 {
@@ -72,6 +72,10 @@
     /// Indices of the upstreams of @p service that may take a flow now; null if all may. Valid until the next call.
     const std::vector<std::size_t> *allowed(ServiceId service, TimePoint now);
 
+    /// Indices of the cold upstreams of @p service that may take a flow now if none of the warm ones can. Valid until
+    /// the next call.
+    const std::vector<std::size_t> &allowedCold(ServiceId service, TimePoint now);
+
     /// Records that a flow is placed at @p upstream.
     void recordPlaced(UpstreamId upstream, TimePoint now);
 
@@ -90,12 +94,13 @@
         TimePoint allWarmAt;
         /// Until when @c warm and @c own are valid.
         TimePoint sortedUntil;
-        /// Indices of the upstreams that aren't cold; if there are none, of those that this VM has a share in.
+        /// Indices of the upstreams that aren't cold; and of the cold ones that this VM has a share in.
         std::vector<std::size_t> warm;
         std::vector<std::size_t> own;
     };
 
     void sortUpstreams(Service &service, TimePoint now) const;
+    const std::vector<std::size_t> &allowedCold(const Service &known, TimePoint now);
     bool hasShareIn(UpstreamId upstream, const ColdStartShare &share) const;
 
     ColdStartSettings settings_;
--- a/routing/tagged_openings.cpp
+++ b/routing/tagged_openings.cpp
@@ -140,6 +140,15 @@
     }
     const auto &serviceUpstreams = found->second;
     const std::vector<std::size_t> *allowed = coldStart_.allowed(service, now);
+    const auto takesFlows = [&](std::size_t index) {
+        const TrackedUpstream &upstream = *serviceUpstreams[index];
+        return !isEjected(upstream.health, now) && !isSilent(upstream.health, settings_.health, now)
+            && !hasLostAddress(upstream);
+    };
+    if (allowed != nullptr && std::none_of(allowed->begin(), allowed->end(), takesFlows)) {
+        const std::vector<std::size_t> &cold = coldStart_.allowedCold(service, now);
+        allowed = cold.empty() ? coldStart_.allowed(service, now) : &cold;
+    }
     const std::size_t count = allowed != nullptr ? allowed->size() : serviceUpstreams.size();
     const std::size_t wanted = settings_.placement.maxCompared;
     const std::size_t offset = count <= wanted ? 0 : random_.below(count);
--- a/tests/routing/cold_start_limit_test.cpp
+++ b/tests/routing/cold_start_limit_test.cpp
@@ -259,6 +259,35 @@
     EXPECT_EQ(reset->reason, TaggedRefusal::NoUpstream);
 }
 
+// Guards callers of a service whose only warm upstream has crashed: cold ones get as many flows as they bear.
+TEST_F(ColdStartRoutingTest, OpensFlowsAtColdUpstreamsIfAllWarmOnesAreEjected)
+{
+    setUpstreams({ upstream(1, ledger, home), upstream(2, ledger, home) }, 5000);
+    now += 2s;
+    DirectoryUpstream cold = upstream(2, ledger, home);
+    cold.coldUntil = now + 10s;
+    setUpstreams({ upstream(1, ledger, home), cold }, 5000);
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+        EXPECT_EQ(route(syn(1, port))->upstream, UpstreamId { 1 });
+    }
+    now += 250ms;
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+        FlowPacket copy = syn(1, port);
+        copy.synCopies = 1;
+        route(copy);
+    }
+    std::size_t placed = 0;
+    for (std::uint16_t port = 10; port < 20; ++port) {
+        const auto next = route(syn(1, port));
+        placed += next && next->upstream == UpstreamId { 2 } ? 1 : 0;
+    }
+    EXPECT_EQ(placed, 1U) << "the VM's share";
+    now += 800ms;
+    const auto next = route(syn(1, 30));
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->upstream, UpstreamId { 1 }) << "no longer ejected";
+}
+
 // Guards deployments without the figure: cold upstreams get their usual share.
 TEST_F(ColdStartRoutingTest, NeedsAFigure)
 {
