Share no silence while other upstreams only seemed silent

A single failed check told the whole fleet to avoid an upstream, also on a lossy network, where a VM itself withholds resets: by a reviewer's calculation one false report in 5 s would keep an upstream with few requests avoided all the time.

As for resets, a VM now withholds while two upstreams of the service and zone left packets or checks unanswered, but served (refutedUpstreamsToWithhold).

SharesNoSilenceWhileOthersOnlySeemedSilent covers it; it checks that silence is shared without the two, so that it fails on the code before at its second expectation (by reading; the code before was not built with it).

--- a/routing/silence_evidence.cpp
+++ b/routing/silence_evidence.cpp
@@ -68,6 +68,7 @@
                      const std::vector<ObservedUpstream> &listed,
                      ZoneId ownZone,
                      const PassiveHealthSettings &health,
+                     const SilenceSettings &settings,
                      TimePoint now)
 {
     if (upstream.zone != ownZone || !isSilent(*upstream.health, health, now)) {
@@ -81,13 +82,15 @@
     }
     std::size_t upstreams = 0;
     std::size_t silent = 0;
+    std::size_t refuted = 0;
     for (const ObservedUpstream &other : listed) {
         if (other.service == upstream.service && other.zone == ownZone) {
             ++upstreams;
             silent += isSilent(*other.health, health, now) ? 1 : 0;
+            refuted += wasRefuted(*other.health, health, now) ? 1 : 0;
         }
     }
-    return 2 * silent < upstreams;
+    return 2 * silent < upstreams && refuted < settings.refutedUpstreamsToWithhold;
 }
 
 } // namespace boragelug
--- a/routing/silence_evidence.h
+++ b/routing/silence_evidence.h
@@ -57,13 +57,14 @@
 
 /// Whether other VMs should avoid @p upstream because a check of this VM, which is in @p ownZone, found it silent. They
 /// shouldn't if this VM's network path is as likely at fault: the upstream is of another zone, no upstream of the zone
-/// has progressed since the check was requested, or half of the service's upstreams of the zone seem silent here.
-/// Precondition: @p listed has all upstreams that this VM knows, with
-/// @p upstream. Thread-safe.
+/// has progressed since the check was requested, half of the service's upstreams of the zone seem silent here, or some
+/// of them only seemed silent. Precondition: @p listed has all upstreams that this VM knows, with @p upstream.
+/// Thread-safe.
 bool isSilenceShared(const ObservedUpstream &upstream,
                      const std::vector<ObservedUpstream> &listed,
                      ZoneId ownZone,
                      const PassiveHealthSettings &health,
+                     const SilenceSettings &settings,
                      TimePoint now);
 
 } // namespace boragelug
--- a/routing/tagged_router.cpp
+++ b/routing/tagged_router.cpp
@@ -387,7 +387,9 @@
     }
     const TrackedUpstream &upstream = *found->second;
     boragelug::recordCheckResult(found->second->health, answered, earlyChecks_, now);
-    if (!answered && isSilenceShared(observed(upstream), observedUpstreams(), view_->selfZone, settings_.health, now)) {
+    if (!answered
+        && isSilenceShared(
+            observed(upstream), observedUpstreams(), view_->selfZone, settings_.health, settings_.silence, now)) {
         speeds_.recordSilence(upstream.tag, now);
     }
 }
--- a/tests/routing/silence_evidence_test.cpp
+++ b/tests/routing/silence_evidence_test.cpp
@@ -62,16 +62,16 @@
 // Other VMs must learn which upstreams crashed, but not from a VM whose own network path may be at fault.
 TEST_F(SilenceEvidenceTest, SharesTheSilenceOfAMinorityOfItsOwnZone)
 {
-    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "one of two";
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, {}, now)) << "one of two";
     add(ledger, home);
-    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now));
-    EXPECT_FALSE(isSilenceShared(listed.front(), listed, away, settings, now)) << "of another zone";
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, {}, now));
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, away, settings, {}, now)) << "of another zone";
     addSilent(inspection);
     add(ledger, away);
-    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now)) << "another service, another zone";
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, {}, now)) << "another service, another zone";
     addSilent(ledger);
-    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "two of four";
-    EXPECT_FALSE(isSilenceShared(listed[1], listed, home, settings, now)) << "it progresses";
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, {}, now)) << "two of four";
+    EXPECT_FALSE(isSilenceShared(listed[1], listed, home, settings, {}, now)) << "it progresses";
 }
 
 // Guards healthy upstreams against a VM that reaches none of them, but has so few requests that only one of many seems
@@ -82,13 +82,26 @@
         add(ledger, home);
     }
     listed.erase(listed.begin() + 1);
-    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now));
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, {}, now));
     add(ledger, away).lastProgressAt = now;
     PassiveHealth &other = add(inspection, home);
     other.lastProgressAt = silentUpstream().checkRequestedAt;
-    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, now)) << "none since the check";
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, {}, now)) << "none since the check";
     other.lastProgressAt = now - 300ms;
-    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, now));
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, {}, now));
+}
+
+// Guards healthy upstreams against a VM on a lossy network, whose packets and checks get lost now and then.
+TEST_F(SilenceEvidenceTest, SharesNoSilenceWhileOthersOnlySeemedSilent)
+{
+    for (int i = 0; i < 8; ++i) {
+        add(ledger, home);
+    }
+    EXPECT_TRUE(isSilenceShared(listed.front(), listed, home, settings, {}, now));
+    for (int i = 0; i < 2; ++i) {
+        recordProgress(addSilent(ledger), now - 100ms);
+    }
+    EXPECT_FALSE(isSilenceShared(listed.front(), listed, home, settings, {}, now));
 }
 
 // Callers of an upstream that crashed must be told.
