--- a/drivers/relay_codec.cpp
+++ b/drivers/relay_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/byte_order.h"
 #include "drivers/packed_bytes.h"
+#include "drivers/speed_codec.h"
 #include "gen/relay_types.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
@@ -267,68 +268,6 @@
     return out;
 }
 
-std::int32_t toHundredths(double value)
-{
-    constexpr double most = std::numeric_limits<std::int32_t>::max();
-    return static_cast<std::int32_t>(std::clamp(std::round(value * 100), 0.0, most));
-}
-
-FlowTag tagFromWire(std::int32_t tag)
-{
-    return FlowTag { static_cast<std::uint32_t>(tag) };
-}
-
-std::vector<wire::RelaySpeed> toWire(const std::vector<SpeedObservation> &speeds)
-{
-    std::vector<wire::RelaySpeed> out;
-    out.reserve(speeds.size());
-    for (const SpeedObservation &observation : speeds) {
-        wire::RelaySpeed speed;
-        speed.upstreamTag = static_cast<std::int32_t>(observation.upstream.value);
-        speed.answers = static_cast<std::int32_t>(observation.answers);
-        speed.latencyHundredths = toHundredths(observation.latencySum);
-        out.push_back(speed);
-    }
-    return out;
-}
-
-/// Leaves out observations with impossible numbers.
-std::vector<SpeedObservation> fromWire(const std::vector<wire::RelaySpeed> &speeds)
-{
-    std::vector<SpeedObservation> out;
-    for (const wire::RelaySpeed &speed : speeds) {
-        if (speed.answers > 0 && speed.latencyHundredths > 0) {
-            out.push_back({ .upstream = tagFromWire(speed.upstreamTag),
-                            .answers = static_cast<std::uint32_t>(speed.answers),
-                            .latencySum = speed.latencyHundredths / 100.0 });
-        }
-    }
-    return out;
-}
-
-std::vector<wire::RelaySlowUpstream> toWire(const std::vector<SlowUpstream> &upstreams)
-{
-    std::vector<wire::RelaySlowUpstream> out;
-    out.reserve(upstreams.size());
-    for (const SlowUpstream &slow : upstreams) {
-        wire::RelaySlowUpstream upstream;
-        upstream.upstreamTag = static_cast<std::int32_t>(slow.upstream.value);
-        upstream.slownessHundredths = toHundredths(slow.slowness);
-        out.push_back(upstream);
-    }
-    return out;
-}
-
-std::vector<SlowUpstream> fromWire(const std::vector<wire::RelaySlowUpstream> &upstreams)
-{
-    std::vector<SlowUpstream> out;
-    out.reserve(upstreams.size());
-    for (const wire::RelaySlowUpstream &slow : upstreams) {
-        out.push_back({ .upstream = tagFromWire(slow.upstreamTag), .slowness = slow.slownessHundredths / 100.0 });
-    }
-    return out;
-}
-
 /// Adds @p items to the lists of a RelayRecords or RelayAnswer.
 template<class Lists>
 void addRecords(const std::vector<DirectoryItem> &items, Lists &out)
@@ -399,7 +338,7 @@
     out.__set_acceptsPacked(message.acceptsPacked);
     out.__set_requestId(toWire(message.id));
     if (!request.speeds.empty()) {
-        out.__set_speeds(toWire(request.speeds));
+        out.__set_packedSpeeds(packSpeedObservations(request.speeds));
     }
     return withLength(serialize(out));
 }
@@ -421,7 +360,7 @@
         out.__set_elsewhere(toWire(*changes.elsewhere));
     }
     if (changes.slowUpstreams) {
-        out.__set_slowUpstreams(toWire(*changes.slowUpstreams));
+        out.__set_packedSlowUpstreams(packSlowUpstreams(*changes.slowUpstreams));
     }
     addRecords(changes.items, out);
     if (!packedRecords.empty()) {
@@ -442,12 +381,16 @@
     if (!in || in->waitNanoseconds < 0) {
         return std::nullopt;
     }
+    auto speeds = unpackSpeedObservations(in->packedSpeeds);
+    if (!speeds) {
+        return std::nullopt;
+    }
     return RelayRequestMessage { .request = { .after = { fromWire(in->after) },
                                               .catalogue = { fromWire(in->catalogueVersion) },
                                               .wait = Duration(in->waitNanoseconds),
                                               .listening = fromWire(in->listening),
                                               .zone = in->zoneName,
-                                              .speeds = fromWire(in->speeds) },
+                                              .speeds = std::move(*speeds) },
                                  .id = fromWire(in->requestId),
                                  .acceptsPacked = in->acceptsPacked };
 }
@@ -470,8 +413,12 @@
     if (in->__isset.elsewhere) {
         changes.elsewhere = fromWire(in->elsewhere);
     }
-    if (in->__isset.slowUpstreams) {
-        changes.slowUpstreams = std::make_shared<const std::vector<SlowUpstream>>(fromWire(in->slowUpstreams));
+    if (in->__isset.packedSlowUpstreams) {
+        auto slow = unpackSlowUpstreams(in->packedSlowUpstreams);
+        if (!slow) {
+            return std::nullopt;
+        }
+        changes.slowUpstreams = std::make_shared<const std::vector<SlowUpstream>>(std::move(*slow));
     }
     if (!takeRecords(*in, changes.items)) {
         return std::nullopt;
--- a/fuzz/make_corpus.cpp
+++ b/fuzz/make_corpus.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <string>
 
 namespace
@@ -61,6 +62,8 @@
     RelayAnswerMessage message { .changes = {}, .requestId = 5 };
     message.changes.asOf = DirectoryRevision { 9 };
     message.changes.age = std::chrono::milliseconds(20);
+    message.changes.slowUpstreams = std::make_shared<const std::vector<SlowUpstream>>(
+        std::vector<SlowUpstream> { { FlowTag { 0xfedcba98 }, 4.75 }, { FlowTag { 1 }, 1.5 } });
     const std::vector<DirectoryItem> items {
         { .key = soak::catalogueKey(), .revision = { 7 }, .content = catalogue() },
         { .key = soak::hostKey({ 1 }), .revision = { 8 }, .content = upstream() },
@@ -112,7 +115,8 @@
                                                      .catalogue = { 7 },
                                                      .wait = std::chrono::milliseconds(500),
                                                      .listening = upstream().address,
-                                                     .zone = "kgd-north" },
+                                                     .zone = "kgd-north",
+                                                     .speeds = { { FlowTag { 0xfedcba98 }, 7, 10.5 } } },
                                         .id = 3,
                                         .acceptsPacked = true };
     const auto requestBytes = encodeRelayRequest(request);
--- a/gen/relay_types.cpp
+++ b/gen/relay_types.cpp
@@ -129,259 +129,6 @@
 }
 
 
-RelaySpeed::~RelaySpeed() noexcept {
-}
-
-
-void RelaySpeed::__set_upstreamTag(const int32_t val) {
-  this->upstreamTag = val;
-}
-
-void RelaySpeed::__set_answers(const int32_t val) {
-  this->answers = val;
-}
-
-void RelaySpeed::__set_latencyHundredths(const int32_t val) {
-  this->latencyHundredths = val;
-}
-std::ostream& operator<<(std::ostream& out, const RelaySpeed& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t RelaySpeed::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_upstreamTag = false;
-  bool isset_answers = false;
-  bool isset_latencyHundredths = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->upstreamTag);
-          isset_upstreamTag = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answers);
-          isset_answers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->latencyHundredths);
-          isset_latencyHundredths = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_upstreamTag)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_answers)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_latencyHundredths)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t RelaySpeed::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RelaySpeed");
-
-  xfer += oprot->writeFieldBegin("upstreamTag", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->upstreamTag);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->answers);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("latencyHundredths", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->latencyHundredths);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RelaySpeed &a, RelaySpeed &b) {
-  using ::std::swap;
-  swap(a.upstreamTag, b.upstreamTag);
-  swap(a.answers, b.answers);
-  swap(a.latencyHundredths, b.latencyHundredths);
-}
-
-RelaySpeed::RelaySpeed(const RelaySpeed& other2) noexcept {
-  upstreamTag = other2.upstreamTag;
-  answers = other2.answers;
-  latencyHundredths = other2.latencyHundredths;
-}
-RelaySpeed& RelaySpeed::operator=(const RelaySpeed& other3) noexcept {
-  upstreamTag = other3.upstreamTag;
-  answers = other3.answers;
-  latencyHundredths = other3.latencyHundredths;
-  return *this;
-}
-void RelaySpeed::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RelaySpeed(";
-  out << "upstreamTag=" << to_string(upstreamTag);
-  out << ", " << "answers=" << to_string(answers);
-  out << ", " << "latencyHundredths=" << to_string(latencyHundredths);
-  out << ")";
-}
-
-
-RelaySlowUpstream::~RelaySlowUpstream() noexcept {
-}
-
-
-void RelaySlowUpstream::__set_upstreamTag(const int32_t val) {
-  this->upstreamTag = val;
-}
-
-void RelaySlowUpstream::__set_slownessHundredths(const int32_t val) {
-  this->slownessHundredths = val;
-}
-std::ostream& operator<<(std::ostream& out, const RelaySlowUpstream& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t RelaySlowUpstream::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_upstreamTag = false;
-  bool isset_slownessHundredths = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->upstreamTag);
-          isset_upstreamTag = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slownessHundredths);
-          isset_slownessHundredths = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_upstreamTag)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_slownessHundredths)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t RelaySlowUpstream::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RelaySlowUpstream");
-
-  xfer += oprot->writeFieldBegin("upstreamTag", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->upstreamTag);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("slownessHundredths", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->slownessHundredths);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RelaySlowUpstream &a, RelaySlowUpstream &b) {
-  using ::std::swap;
-  swap(a.upstreamTag, b.upstreamTag);
-  swap(a.slownessHundredths, b.slownessHundredths);
-}
-
-RelaySlowUpstream::RelaySlowUpstream(const RelaySlowUpstream& other4) noexcept {
-  upstreamTag = other4.upstreamTag;
-  slownessHundredths = other4.slownessHundredths;
-}
-RelaySlowUpstream& RelaySlowUpstream::operator=(const RelaySlowUpstream& other5) noexcept {
-  upstreamTag = other5.upstreamTag;
-  slownessHundredths = other5.slownessHundredths;
-  return *this;
-}
-void RelaySlowUpstream::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RelaySlowUpstream(";
-  out << "upstreamTag=" << to_string(upstreamTag);
-  out << ", " << "slownessHundredths=" << to_string(slownessHundredths);
-  out << ")";
-}
-
-
 RelayRequest::~RelayRequest() noexcept {
 }
 
@@ -418,9 +165,9 @@
 __isset.requestId = true;
 }
 
-void RelayRequest::__set_speeds(const std::vector<RelaySpeed> & val) {
-  this->speeds = val;
-__isset.speeds = true;
+void RelayRequest::__set_packedSpeeds(const std::string& val) {
+  this->packedSpeeds = val;
+__isset.packedSpeeds = true;
 }
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
@@ -509,22 +256,10 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->speeds.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->speeds.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
-            {
-              xfer += this->speeds[_i10].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.speeds = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedSpeeds);
+          this->__isset.packedSpeeds = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -584,17 +319,9 @@
     xfer += oprot->writeI64(this->requestId);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.speeds) {
-    xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 8);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-      std::vector<RelaySpeed> ::const_iterator _iter11;
-      for (_iter11 = this->speeds.begin(); _iter11 != this->speeds.end(); ++_iter11)
-      {
-        xfer += (*_iter11).write(oprot);
-      }
-      xfer += oprot->writeListEnd();
-    }
+  if (this->__isset.packedSpeeds) {
+    xfer += oprot->writeFieldBegin("packedSpeeds", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeBinary(this->packedSpeeds);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -611,31 +338,31 @@
   swap(a.catalogueVersion, b.catalogueVersion);
   swap(a.acceptsPacked, b.acceptsPacked);
   swap(a.requestId, b.requestId);
-  swap(a.speeds, b.speeds);
+  swap(a.packedSpeeds, b.packedSpeeds);
   swap(a.__isset, b.__isset);
 }
 
-RelayRequest::RelayRequest(const RelayRequest& other12) {
-  after = other12.after;
-  waitNanoseconds = other12.waitNanoseconds;
-  listening = other12.listening;
-  zoneName = other12.zoneName;
-  catalogueVersion = other12.catalogueVersion;
-  acceptsPacked = other12.acceptsPacked;
-  requestId = other12.requestId;
-  speeds = other12.speeds;
-  __isset = other12.__isset;
-}
-RelayRequest& RelayRequest::operator=(const RelayRequest& other13) {
-  after = other13.after;
-  waitNanoseconds = other13.waitNanoseconds;
-  listening = other13.listening;
-  zoneName = other13.zoneName;
-  catalogueVersion = other13.catalogueVersion;
-  acceptsPacked = other13.acceptsPacked;
-  requestId = other13.requestId;
-  speeds = other13.speeds;
-  __isset = other13.__isset;
+RelayRequest::RelayRequest(const RelayRequest& other2) {
+  after = other2.after;
+  waitNanoseconds = other2.waitNanoseconds;
+  listening = other2.listening;
+  zoneName = other2.zoneName;
+  catalogueVersion = other2.catalogueVersion;
+  acceptsPacked = other2.acceptsPacked;
+  requestId = other2.requestId;
+  packedSpeeds = other2.packedSpeeds;
+  __isset = other2.__isset;
+}
+RelayRequest& RelayRequest::operator=(const RelayRequest& other3) {
+  after = other3.after;
+  waitNanoseconds = other3.waitNanoseconds;
+  listening = other3.listening;
+  zoneName = other3.zoneName;
+  catalogueVersion = other3.catalogueVersion;
+  acceptsPacked = other3.acceptsPacked;
+  requestId = other3.requestId;
+  packedSpeeds = other3.packedSpeeds;
+  __isset = other3.__isset;
   return *this;
 }
 void RelayRequest::printTo(std::ostream& out) const {
@@ -648,7 +375,7 @@
   out << ", " << "catalogueVersion="; (__isset.catalogueVersion ? (out << to_string(catalogueVersion)) : (out << "<null>"));
   out << ", " << "acceptsPacked="; (__isset.acceptsPacked ? (out << to_string(acceptsPacked)) : (out << "<null>"));
   out << ", " << "requestId="; (__isset.requestId ? (out << to_string(requestId)) : (out << "<null>"));
-  out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
+  out << ", " << "packedSpeeds="; (__isset.packedSpeeds ? (out << to_string(packedSpeeds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -910,29 +637,29 @@
   swap(a.coldNanoseconds, b.coldNanoseconds);
 }
 
-RelayUpstream::RelayUpstream(const RelayUpstream& other14) {
-  key = other14.key;
-  revision = other14.revision;
-  id = other14.id;
-  incarnation = other14.incarnation;
-  serviceName = other14.serviceName;
-  zoneName = other14.zoneName;
-  address = other14.address;
-  slots = other14.slots;
-  draining = other14.draining;
-  coldNanoseconds = other14.coldNanoseconds;
-}
-RelayUpstream& RelayUpstream::operator=(const RelayUpstream& other15) {
-  key = other15.key;
-  revision = other15.revision;
-  id = other15.id;
-  incarnation = other15.incarnation;
-  serviceName = other15.serviceName;
-  zoneName = other15.zoneName;
-  address = other15.address;
-  slots = other15.slots;
-  draining = other15.draining;
-  coldNanoseconds = other15.coldNanoseconds;
+RelayUpstream::RelayUpstream(const RelayUpstream& other4) {
+  key = other4.key;
+  revision = other4.revision;
+  id = other4.id;
+  incarnation = other4.incarnation;
+  serviceName = other4.serviceName;
+  zoneName = other4.zoneName;
+  address = other4.address;
+  slots = other4.slots;
+  draining = other4.draining;
+  coldNanoseconds = other4.coldNanoseconds;
+}
+RelayUpstream& RelayUpstream::operator=(const RelayUpstream& other5) {
+  key = other5.key;
+  revision = other5.revision;
+  id = other5.id;
+  incarnation = other5.incarnation;
+  serviceName = other5.serviceName;
+  zoneName = other5.zoneName;
+  address = other5.address;
+  slots = other5.slots;
+  draining = other5.draining;
+  coldNanoseconds = other5.coldNanoseconds;
   return *this;
 }
 void RelayUpstream::printTo(std::ostream& out) const {
@@ -1049,13 +776,13 @@
   swap(a.revision, b.revision);
 }
 
-RelayRemoval::RelayRemoval(const RelayRemoval& other16) {
-  key = other16.key;
-  revision = other16.revision;
+RelayRemoval::RelayRemoval(const RelayRemoval& other6) {
+  key = other6.key;
+  revision = other6.revision;
 }
-RelayRemoval& RelayRemoval::operator=(const RelayRemoval& other17) {
-  key = other17.key;
-  revision = other17.revision;
+RelayRemoval& RelayRemoval::operator=(const RelayRemoval& other7) {
+  key = other7.key;
+  revision = other7.revision;
   return *this;
 }
 void RelayRemoval::printTo(std::ostream& out) const {
@@ -1184,15 +911,15 @@
   swap(a.zoneName, b.zoneName);
 }
 
-RelayEvacuation::RelayEvacuation(const RelayEvacuation& other18) {
-  key = other18.key;
-  revision = other18.revision;
-  zoneName = other18.zoneName;
+RelayEvacuation::RelayEvacuation(const RelayEvacuation& other8) {
+  key = other8.key;
+  revision = other8.revision;
+  zoneName = other8.zoneName;
 }
-RelayEvacuation& RelayEvacuation::operator=(const RelayEvacuation& other19) {
-  key = other19.key;
-  revision = other19.revision;
-  zoneName = other19.zoneName;
+RelayEvacuation& RelayEvacuation::operator=(const RelayEvacuation& other9) {
+  key = other9.key;
+  revision = other9.revision;
+  zoneName = other9.zoneName;
   return *this;
 }
 void RelayEvacuation::printTo(std::ostream& out) const {
@@ -1302,13 +1029,13 @@
   swap(a.weight, b.weight);
 }
 
-RelayShare::RelayShare(const RelayShare& other20) {
-  serviceName = other20.serviceName;
-  weight = other20.weight;
+RelayShare::RelayShare(const RelayShare& other10) {
+  serviceName = other10.serviceName;
+  weight = other10.weight;
 }
-RelayShare& RelayShare::operator=(const RelayShare& other21) {
-  serviceName = other21.serviceName;
-  weight = other21.weight;
+RelayShare& RelayShare::operator=(const RelayShare& other11) {
+  serviceName = other11.serviceName;
+  weight = other11.weight;
   return *this;
 }
 void RelayShare::printTo(std::ostream& out) const {
@@ -1406,14 +1133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->services.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->services.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->services[_i26].read(iprot);
+              xfer += this->services[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1496,10 +1223,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<RelayShare> ::const_iterator _iter27;
-    for (_iter27 = this->services.begin(); _iter27 != this->services.end(); ++_iter27)
+    std::vector<RelayShare> ::const_iterator _iter17;
+    for (_iter17 = this->services.begin(); _iter17 != this->services.end(); ++_iter17)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter17).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1537,23 +1264,23 @@
   swap(a.priority, b.priority);
 }
 
-RelayEntry::RelayEntry(const RelayEntry& other28) {
-  name = other28.name;
-  address = other28.address;
-  services = other28.services;
-  idempotent = other28.idempotent;
-  objectiveNanoseconds = other28.objectiveNanoseconds;
-  timeoutNanoseconds = other28.timeoutNanoseconds;
-  priority = other28.priority;
-}
-RelayEntry& RelayEntry::operator=(const RelayEntry& other29) {
-  name = other29.name;
-  address = other29.address;
-  services = other29.services;
-  idempotent = other29.idempotent;
-  objectiveNanoseconds = other29.objectiveNanoseconds;
-  timeoutNanoseconds = other29.timeoutNanoseconds;
-  priority = other29.priority;
+RelayEntry::RelayEntry(const RelayEntry& other18) {
+  name = other18.name;
+  address = other18.address;
+  services = other18.services;
+  idempotent = other18.idempotent;
+  objectiveNanoseconds = other18.objectiveNanoseconds;
+  timeoutNanoseconds = other18.timeoutNanoseconds;
+  priority = other18.priority;
+}
+RelayEntry& RelayEntry::operator=(const RelayEntry& other19) {
+  name = other19.name;
+  address = other19.address;
+  services = other19.services;
+  idempotent = other19.idempotent;
+  objectiveNanoseconds = other19.objectiveNanoseconds;
+  timeoutNanoseconds = other19.timeoutNanoseconds;
+  priority = other19.priority;
   return *this;
 }
 void RelayEntry::printTo(std::ostream& out) const {
@@ -1687,15 +1414,15 @@
   swap(a.coldRequestsPerSecond, b.coldRequestsPerSecond);
 }
 
-RelayService::RelayService(const RelayService& other30) {
-  name = other30.name;
-  coldStartNanoseconds = other30.coldStartNanoseconds;
-  coldRequestsPerSecond = other30.coldRequestsPerSecond;
+RelayService::RelayService(const RelayService& other20) {
+  name = other20.name;
+  coldStartNanoseconds = other20.coldStartNanoseconds;
+  coldRequestsPerSecond = other20.coldRequestsPerSecond;
 }
-RelayService& RelayService::operator=(const RelayService& other31) {
-  name = other31.name;
-  coldStartNanoseconds = other31.coldStartNanoseconds;
-  coldRequestsPerSecond = other31.coldRequestsPerSecond;
+RelayService& RelayService::operator=(const RelayService& other21) {
+  name = other21.name;
+  coldStartNanoseconds = other21.coldStartNanoseconds;
+  coldRequestsPerSecond = other21.coldRequestsPerSecond;
   return *this;
 }
 void RelayService::printTo(std::ostream& out) const {
@@ -1807,14 +1534,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->entries.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->entries.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->entries[_i36].read(iprot);
+              xfer += this->entries[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1843,14 +1570,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->removed.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->removed.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->removed[_i41].read(iprot);
+              xfer += this->removed[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1863,14 +1590,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->services.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->services.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->services[_i46].read(iprot);
+              xfer += this->services[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1919,10 +1646,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<RelayEntry> ::const_iterator _iter47;
-    for (_iter47 = this->entries.begin(); _iter47 != this->entries.end(); ++_iter47)
+    std::vector<RelayEntry> ::const_iterator _iter37;
+    for (_iter37 = this->entries.begin(); _iter37 != this->entries.end(); ++_iter37)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1942,10 +1669,10 @@
     xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
-      std::vector<RelayEndpoint> ::const_iterator _iter48;
-      for (_iter48 = this->removed.begin(); _iter48 != this->removed.end(); ++_iter48)
+      std::vector<RelayEndpoint> ::const_iterator _iter38;
+      for (_iter38 = this->removed.begin(); _iter38 != this->removed.end(); ++_iter38)
       {
-        xfer += (*_iter48).write(oprot);
+        xfer += (*_iter38).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1955,10 +1682,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-      std::vector<RelayService> ::const_iterator _iter49;
-      for (_iter49 = this->services.begin(); _iter49 != this->services.end(); ++_iter49)
+      std::vector<RelayService> ::const_iterator _iter39;
+      for (_iter39 = this->services.begin(); _iter39 != this->services.end(); ++_iter39)
       {
-        xfer += (*_iter49).write(oprot);
+        xfer += (*_iter39).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1982,27 +1709,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayCatalogue::RelayCatalogue(const RelayCatalogue& other50) {
-  key = other50.key;
-  revision = other50.revision;
-  version = other50.version;
-  entries = other50.entries;
-  flowIdleNanoseconds = other50.flowIdleNanoseconds;
-  baseVersion = other50.baseVersion;
-  removed = other50.removed;
-  services = other50.services;
-  __isset = other50.__isset;
-}
-RelayCatalogue& RelayCatalogue::operator=(const RelayCatalogue& other51) {
-  key = other51.key;
-  revision = other51.revision;
-  version = other51.version;
-  entries = other51.entries;
-  flowIdleNanoseconds = other51.flowIdleNanoseconds;
-  baseVersion = other51.baseVersion;
-  removed = other51.removed;
-  services = other51.services;
-  __isset = other51.__isset;
+RelayCatalogue::RelayCatalogue(const RelayCatalogue& other40) {
+  key = other40.key;
+  revision = other40.revision;
+  version = other40.version;
+  entries = other40.entries;
+  flowIdleNanoseconds = other40.flowIdleNanoseconds;
+  baseVersion = other40.baseVersion;
+  removed = other40.removed;
+  services = other40.services;
+  __isset = other40.__isset;
+}
+RelayCatalogue& RelayCatalogue::operator=(const RelayCatalogue& other41) {
+  key = other41.key;
+  revision = other41.revision;
+  version = other41.version;
+  entries = other41.entries;
+  flowIdleNanoseconds = other41.flowIdleNanoseconds;
+  baseVersion = other41.baseVersion;
+  removed = other41.removed;
+  services = other41.services;
+  __isset = other41.__isset;
   return *this;
 }
 void RelayCatalogue::printTo(std::ostream& out) const {
@@ -2075,14 +1802,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->upstreams.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->upstreams.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->upstreams[_i56].read(iprot);
+              xfer += this->upstreams[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2095,14 +1822,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->removals.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->removals.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->removals[_i61].read(iprot);
+              xfer += this->removals[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2123,14 +1850,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->evacuations.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->evacuations.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->evacuations[_i66].read(iprot);
+              xfer += this->evacuations[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2163,10 +1890,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<RelayUpstream> ::const_iterator _iter67;
-    for (_iter67 = this->upstreams.begin(); _iter67 != this->upstreams.end(); ++_iter67)
+    std::vector<RelayUpstream> ::const_iterator _iter57;
+    for (_iter57 = this->upstreams.begin(); _iter57 != this->upstreams.end(); ++_iter57)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2175,10 +1902,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RelayRemoval> ::const_iterator _iter68;
-    for (_iter68 = this->removals.begin(); _iter68 != this->removals.end(); ++_iter68)
+    std::vector<RelayRemoval> ::const_iterator _iter58;
+    for (_iter58 = this->removals.begin(); _iter58 != this->removals.end(); ++_iter58)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2193,10 +1920,10 @@
     xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-      std::vector<RelayEvacuation> ::const_iterator _iter69;
-      for (_iter69 = this->evacuations.begin(); _iter69 != this->evacuations.end(); ++_iter69)
+      std::vector<RelayEvacuation> ::const_iterator _iter59;
+      for (_iter59 = this->evacuations.begin(); _iter59 != this->evacuations.end(); ++_iter59)
       {
-        xfer += (*_iter69).write(oprot);
+        xfer += (*_iter59).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2216,19 +1943,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRecords::RelayRecords(const RelayRecords& other70) {
-  upstreams = other70.upstreams;
-  removals = other70.removals;
-  catalogue = other70.catalogue;
-  evacuations = other70.evacuations;
-  __isset = other70.__isset;
+RelayRecords::RelayRecords(const RelayRecords& other60) {
+  upstreams = other60.upstreams;
+  removals = other60.removals;
+  catalogue = other60.catalogue;
+  evacuations = other60.evacuations;
+  __isset = other60.__isset;
 }
-RelayRecords& RelayRecords::operator=(const RelayRecords& other71) {
-  upstreams = other71.upstreams;
-  removals = other71.removals;
-  catalogue = other71.catalogue;
-  evacuations = other71.evacuations;
-  __isset = other71.__isset;
+RelayRecords& RelayRecords::operator=(const RelayRecords& other61) {
+  upstreams = other61.upstreams;
+  removals = other61.removals;
+  catalogue = other61.catalogue;
+  evacuations = other61.evacuations;
+  __isset = other61.__isset;
   return *this;
 }
 void RelayRecords::printTo(std::ostream& out) const {
@@ -2297,9 +2024,9 @@
 __isset.evacuations = true;
 }
 
-void RelayAnswer::__set_slowUpstreams(const std::vector<RelaySlowUpstream> & val) {
-  this->slowUpstreams = val;
-__isset.slowUpstreams = true;
+void RelayAnswer::__set_packedSlowUpstreams(const std::string& val) {
+  this->packedSlowUpstreams = val;
+__isset.packedSlowUpstreams = true;
 }
 std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
@@ -2361,14 +2088,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->upstreams.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->upstreams.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->upstreams[_i76].read(iprot);
+              xfer += this->upstreams[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2381,14 +2108,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->removals.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->removals.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->removals[_i81].read(iprot);
+              xfer += this->removals[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2441,14 +2168,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->evacuations.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->evacuations.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->evacuations[_i86].read(iprot);
+              xfer += this->evacuations[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2457,22 +2184,10 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->slowUpstreams.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->slowUpstreams.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
-            {
-              xfer += this->slowUpstreams[_i91].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.slowUpstreams = true;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedSlowUpstreams);
+          this->__isset.packedSlowUpstreams = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2518,10 +2233,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<RelayUpstream> ::const_iterator _iter92;
-    for (_iter92 = this->upstreams.begin(); _iter92 != this->upstreams.end(); ++_iter92)
+    std::vector<RelayUpstream> ::const_iterator _iter77;
+    for (_iter77 = this->upstreams.begin(); _iter77 != this->upstreams.end(); ++_iter77)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2530,10 +2245,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RelayRemoval> ::const_iterator _iter93;
-    for (_iter93 = this->removals.begin(); _iter93 != this->removals.end(); ++_iter93)
+    std::vector<RelayRemoval> ::const_iterator _iter78;
+    for (_iter78 = this->removals.begin(); _iter78 != this->removals.end(); ++_iter78)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2568,26 +2283,18 @@
     xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-      std::vector<RelayEvacuation> ::const_iterator _iter94;
-      for (_iter94 = this->evacuations.begin(); _iter94 != this->evacuations.end(); ++_iter94)
+      std::vector<RelayEvacuation> ::const_iterator _iter79;
+      for (_iter79 = this->evacuations.begin(); _iter79 != this->evacuations.end(); ++_iter79)
       {
-        xfer += (*_iter94).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.slowUpstreams) {
-    xfer += oprot->writeFieldBegin("slowUpstreams", ::apache::thrift::protocol::T_LIST, 12);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slowUpstreams.size()));
-      std::vector<RelaySlowUpstream> ::const_iterator _iter95;
-      for (_iter95 = this->slowUpstreams.begin(); _iter95 != this->slowUpstreams.end(); ++_iter95)
-      {
-        xfer += (*_iter95).write(oprot);
-      }
-      xfer += oprot->writeListEnd();
-    }
+  if (this->__isset.packedSlowUpstreams) {
+    xfer += oprot->writeFieldBegin("packedSlowUpstreams", ::apache::thrift::protocol::T_STRING, 13);
+    xfer += oprot->writeBinary(this->packedSlowUpstreams);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2608,39 +2315,39 @@
   swap(a.requestId, b.requestId);
   swap(a.complete, b.complete);
   swap(a.evacuations, b.evacuations);
-  swap(a.slowUpstreams, b.slowUpstreams);
+  swap(a.packedSlowUpstreams, b.packedSlowUpstreams);
   swap(a.__isset, b.__isset);
 }
 
-RelayAnswer::RelayAnswer(const RelayAnswer& other96) {
-  asOf = other96.asOf;
-  ageNanoseconds = other96.ageNanoseconds;
-  outageNanoseconds = other96.outageNanoseconds;
-  upstreams = other96.upstreams;
-  removals = other96.removals;
-  catalogue = other96.catalogue;
-  elsewhere = other96.elsewhere;
-  packed = other96.packed;
-  requestId = other96.requestId;
-  complete = other96.complete;
-  evacuations = other96.evacuations;
-  slowUpstreams = other96.slowUpstreams;
-  __isset = other96.__isset;
-}
-RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other97) {
-  asOf = other97.asOf;
-  ageNanoseconds = other97.ageNanoseconds;
-  outageNanoseconds = other97.outageNanoseconds;
-  upstreams = other97.upstreams;
-  removals = other97.removals;
-  catalogue = other97.catalogue;
-  elsewhere = other97.elsewhere;
-  packed = other97.packed;
-  requestId = other97.requestId;
-  complete = other97.complete;
-  evacuations = other97.evacuations;
-  slowUpstreams = other97.slowUpstreams;
-  __isset = other97.__isset;
+RelayAnswer::RelayAnswer(const RelayAnswer& other80) {
+  asOf = other80.asOf;
+  ageNanoseconds = other80.ageNanoseconds;
+  outageNanoseconds = other80.outageNanoseconds;
+  upstreams = other80.upstreams;
+  removals = other80.removals;
+  catalogue = other80.catalogue;
+  elsewhere = other80.elsewhere;
+  packed = other80.packed;
+  requestId = other80.requestId;
+  complete = other80.complete;
+  evacuations = other80.evacuations;
+  packedSlowUpstreams = other80.packedSlowUpstreams;
+  __isset = other80.__isset;
+}
+RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other81) {
+  asOf = other81.asOf;
+  ageNanoseconds = other81.ageNanoseconds;
+  outageNanoseconds = other81.outageNanoseconds;
+  upstreams = other81.upstreams;
+  removals = other81.removals;
+  catalogue = other81.catalogue;
+  elsewhere = other81.elsewhere;
+  packed = other81.packed;
+  requestId = other81.requestId;
+  complete = other81.complete;
+  evacuations = other81.evacuations;
+  packedSlowUpstreams = other81.packedSlowUpstreams;
+  __isset = other81.__isset;
   return *this;
 }
 void RelayAnswer::printTo(std::ostream& out) const {
@@ -2657,7 +2364,7 @@
   out << ", " << "requestId="; (__isset.requestId ? (out << to_string(requestId)) : (out << "<null>"));
   out << ", " << "complete="; (__isset.complete ? (out << to_string(complete)) : (out << "<null>"));
   out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
-  out << ", " << "slowUpstreams="; (__isset.slowUpstreams ? (out << to_string(slowUpstreams)) : (out << "<null>"));
+  out << ", " << "packedSlowUpstreams="; (__isset.packedSlowUpstreams ? (out << to_string(packedSlowUpstreams)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/relay_types.h
+++ b/gen/relay_types.h
@@ -23,10 +23,6 @@
 
 class RelayEndpoint;
 
-class RelaySpeed;
-
-class RelaySlowUpstream;
-
 class RelayRequest;
 
 class RelayUpstream;
@@ -90,117 +86,13 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayEndpoint& obj);
 
-
-/**
- * Answers of an upstream since the last request of the sender.
- */
-class RelaySpeed : public virtual ::apache::thrift::TBase {
- public:
-
-  RelaySpeed(const RelaySpeed&) noexcept;
-  RelaySpeed& operator=(const RelaySpeed&) noexcept;
-  RelaySpeed() noexcept
-             : upstreamTag(0),
-               answers(0),
-               latencyHundredths(0) {
-  }
-
-  virtual ~RelaySpeed() noexcept;
-  int32_t upstreamTag;
-  int32_t answers;
-  /**
-   * Sum of their latencies, in hundredths of the usual one.
-   */
-  int32_t latencyHundredths;
-
-  void __set_upstreamTag(const int32_t val);
-
-  void __set_answers(const int32_t val);
-
-  void __set_latencyHundredths(const int32_t val);
-
-  bool operator == (const RelaySpeed & rhs) const
-  {
-    if (!(upstreamTag == rhs.upstreamTag))
-      return false;
-    if (!(answers == rhs.answers))
-      return false;
-    if (!(latencyHundredths == rhs.latencyHundredths))
-      return false;
-    return true;
-  }
-  bool operator != (const RelaySpeed &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const RelaySpeed & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(RelaySpeed &a, RelaySpeed &b);
-
-std::ostream& operator<<(std::ostream& out, const RelaySpeed& obj);
-
-
-/**
- * An upstream that is slower than the others of its service.
- */
-class RelaySlowUpstream : public virtual ::apache::thrift::TBase {
- public:
-
-  RelaySlowUpstream(const RelaySlowUpstream&) noexcept;
-  RelaySlowUpstream& operator=(const RelaySlowUpstream&) noexcept;
-  RelaySlowUpstream() noexcept
-                    : upstreamTag(0),
-                      slownessHundredths(0) {
-  }
-
-  virtual ~RelaySlowUpstream() noexcept;
-  int32_t upstreamTag;
-  /**
-   * Its latency in hundredths of that of the others.
-   */
-  int32_t slownessHundredths;
-
-  void __set_upstreamTag(const int32_t val);
-
-  void __set_slownessHundredths(const int32_t val);
-
-  bool operator == (const RelaySlowUpstream & rhs) const
-  {
-    if (!(upstreamTag == rhs.upstreamTag))
-      return false;
-    if (!(slownessHundredths == rhs.slownessHundredths))
-      return false;
-    return true;
-  }
-  bool operator != (const RelaySlowUpstream &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const RelaySlowUpstream & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(RelaySlowUpstream &a, RelaySlowUpstream &b);
-
-std::ostream& operator<<(std::ostream& out, const RelaySlowUpstream& obj);
-
 typedef struct _RelayRequest__isset {
-  _RelayRequest__isset() : zoneName(false), catalogueVersion(false), acceptsPacked(false), requestId(false), speeds(false) {}
+  _RelayRequest__isset() : zoneName(false), catalogueVersion(false), acceptsPacked(false), requestId(false), packedSpeeds(false) {}
   bool zoneName :1;
   bool catalogueVersion :1;
   bool acceptsPacked :1;
   bool requestId :1;
-  bool speeds :1;
+  bool packedSpeeds :1;
 } _RelayRequest__isset;
 
 class RelayRequest : public virtual ::apache::thrift::TBase {
@@ -214,7 +106,8 @@
                  zoneName(),
                  catalogueVersion(0),
                  acceptsPacked(0),
-                 requestId(0) {
+                 requestId(0),
+                 packedSpeeds() {
   }
 
   virtual ~RelayRequest() noexcept;
@@ -243,7 +136,11 @@
    * Returned with the answer.
    */
   int64_t requestId;
-  std::vector<RelaySpeed>  speeds;
+  /**
+   * Answers of upstreams since the last request of the sender, most significant bytes first. For each upstream its tag
+   * (4 bytes), the number of answers (2) and their mean latency in 1/1024 of the usual one (2); neither is 0.
+   */
+  std::string packedSpeeds;
 
   _RelayRequest__isset __isset;
 
@@ -261,7 +158,7 @@
 
   void __set_requestId(const int64_t val);
 
-  void __set_speeds(const std::vector<RelaySpeed> & val);
+  void __set_packedSpeeds(const std::string& val);
 
   bool operator == (const RelayRequest & rhs) const
   {
@@ -287,9 +184,9 @@
       return false;
     else if (__isset.requestId && !(requestId == rhs.requestId))
       return false;
-    if (__isset.speeds != rhs.__isset.speeds)
+    if (__isset.packedSpeeds != rhs.__isset.packedSpeeds)
       return false;
-    else if (__isset.speeds && !(speeds == rhs.speeds))
+    else if (__isset.packedSpeeds && !(packedSpeeds == rhs.packedSpeeds))
       return false;
     return true;
   }
@@ -828,7 +725,7 @@
 std::ostream& operator<<(std::ostream& out, const RelayRecords& obj);
 
 typedef struct _RelayAnswer__isset {
-  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false), packed(false), requestId(false), complete(false), evacuations(false), slowUpstreams(false) {}
+  _RelayAnswer__isset() : outageNanoseconds(false), catalogue(false), elsewhere(false), packed(false), requestId(false), complete(false), evacuations(false), packedSlowUpstreams(false) {}
   bool outageNanoseconds :1;
   bool catalogue :1;
   bool elsewhere :1;
@@ -836,7 +733,7 @@
   bool requestId :1;
   bool complete :1;
   bool evacuations :1;
-  bool slowUpstreams :1;
+  bool packedSlowUpstreams :1;
 } _RelayAnswer__isset;
 
 class RelayAnswer : public virtual ::apache::thrift::TBase {
@@ -850,7 +747,8 @@
                 outageNanoseconds(0),
                 packed(),
                 requestId(0),
-                complete(0) {
+                complete(0),
+                packedSlowUpstreams() {
   }
 
   virtual ~RelayAnswer() noexcept;
@@ -884,9 +782,11 @@
   bool complete;
   std::vector<RelayEvacuation>  evacuations;
   /**
-   * All that the sender knows of; they replace those of earlier answers.
+   * Upstreams that are slower than the others of their service, most significant bytes first. For each its tag (4 bytes)
+   * and its latency in hundredths of that of the others (2), above 100. They replace those of earlier answers, which
+   * otherwise stay until they expire.
    */
-  std::vector<RelaySlowUpstream>  slowUpstreams;
+  std::string packedSlowUpstreams;
 
   _RelayAnswer__isset __isset;
 
@@ -912,7 +812,7 @@
 
   void __set_evacuations(const std::vector<RelayEvacuation> & val);
 
-  void __set_slowUpstreams(const std::vector<RelaySlowUpstream> & val);
+  void __set_packedSlowUpstreams(const std::string& val);
 
   bool operator == (const RelayAnswer & rhs) const
   {
@@ -952,9 +852,9 @@
       return false;
     else if (__isset.evacuations && !(evacuations == rhs.evacuations))
       return false;
-    if (__isset.slowUpstreams != rhs.__isset.slowUpstreams)
+    if (__isset.packedSlowUpstreams != rhs.__isset.packedSlowUpstreams)
       return false;
-    else if (__isset.slowUpstreams && !(slowUpstreams == rhs.slowUpstreams))
+    else if (__isset.packedSlowUpstreams && !(packedSlowUpstreams == rhs.packedSlowUpstreams))
       return false;
     return true;
   }
--- a/model/directory_record.h
+++ b/model/directory_record.h
@@ -194,7 +194,8 @@
     std::optional<Duration> sinceOutage = std::nullopt;
     /// Follow: another VM to ask, as this one passes on to enough others.
     std::optional<Endpoint> elsewhere = std::nullopt;
-    /// Follow: the slowest upstreams, which replace those of earlier answers; null if the answering VM learns none.
+    /// Follow: the slowest upstreams, which replace those of earlier answers; null if the answering VM learns none, or
+    /// sent the same ones shortly before.
     SharedSlowUpstreams slowUpstreams = nullptr;
 };
 
--- a/routing/upstream_speeds.cpp
+++ b/routing/upstream_speeds.cpp
@@ -174,7 +174,10 @@
     update(now);
     std::vector<SlowUpstream> slow;
     for (const auto &[tag, slowness] : known(now)) {
-        slow.push_back({ .upstream = tag, .slowness = slowness });
+        // Rounded down: the list must not make an upstream look slower than it is.
+        const double steps =
+            std::max(std::floor(slowness / settings_.listStep), std::floor(1 / settings_.listStep) + 1);
+        slow.push_back({ .upstream = tag, .slowness = steps * settings_.listStep });
     }
     std::sort(slow.begin(), slow.end(), [](const SlowUpstream &a, const SlowUpstream &b) {
         return std::pair(b.slowness, a.upstream) < std::pair(a.slowness, b.upstream);
--- a/routing/upstream_speeds.h
+++ b/routing/upstream_speeds.h
@@ -46,6 +46,8 @@
     std::uint32_t minEntryAnswers = 8;
     /// The list of a relay counts for this long. Relays answer about twice a second.
     Duration listRetention = std::chrono::seconds(3);
+    /// Slowness in a list is a multiple of this, so that the list changes less often.
+    double listStep = 0.25;
     /// Observations that could not be reported for this long are discarded.
     Duration reportRetention = std::chrono::seconds(2);
     /// An estimate weighs at most this many answers, so that those of an upstream with many requests are replaced
@@ -95,7 +97,7 @@
     /// Replaces the list of slow upstreams by that of the relay. Invalid values are ignored.
     void setSlowUpstreams(std::span<const SlowUpstream> upstreams, TimePoint now);
 
-    /// The slowest upstreams, for the followers of this VM.
+    /// The slowest upstreams, for the followers of this VM, with slowness in steps of SpeedSettings::listStep.
     std::vector<SlowUpstream> slowUpstreams(TimePoint now);
 
     /// Number of upstreams that count as slow.
--- a/tests/node/speed_exchange_test.cpp
+++ b/tests/node/speed_exchange_test.cpp
@@ -83,6 +83,11 @@
     std::optional<DirectoryCall> follow()
     {
         now += 500ms;
+        if (const auto watch = relay.nextCall(now)) {
+            DirectoryChanges unchanged;
+            unchanged.asOf = { 9 };
+            relay.handleDirectoryAnswer({ .callId = watch->id, .result = unchanged }, now);
+        }
         auto call = follower.nextCall(now);
         if (!call || call->kind != DirectoryCall::Kind::Follow) {
             return std::nullopt;
@@ -94,12 +99,15 @@
         const auto answers = relay.takeRelayAnswers(now);
         EXPECT_EQ(answers.size(), 1U);
         follower.handleDirectoryAnswer({ .callId = call->id, .result = answers.front().changes }, now);
+        lists += answers.front().changes.slowUpstreams ? 1 : 0;
         return call;
     }
 
     TimePoint now { 100s };
     TaggedNode relay;
     TaggedNode follower;
+    /// Answers to the follower that contained a list.
+    int lists = 0;
 };
 
 // Guards VMs that see few answers: what one follower observed must reach the others through the relay.
@@ -115,6 +123,33 @@
     EXPECT_TRUE(isReported);
 }
 
+// Guards the bytes between VMs, and a follower whose copy would expire between two refreshes: with few lists it knows
+// the slow upstream as long as the relay does.
+TEST_F(SpeedExchangeTest, KeepsAnUnchangedList)
+{
+    int answers = 0;
+    for (; answers < 20; ++answers) {
+        report();
+        ASSERT_TRUE(follow());
+        EXPECT_EQ(follower.router().speeds().slowCount(now), 1U);
+    }
+    EXPECT_LT(lists, answers);
+    EXPECT_GE(lists, answers / 3);
+}
+
+// Guards upstreams that are fast again: the follower must not avoid them until its copy of the list expires.
+TEST_F(SpeedExchangeTest, ClearsTheListOfAFollower)
+{
+    report();
+    ASSERT_TRUE(follow());
+    EXPECT_EQ(follower.router().speeds().slowCount(now), 1U);
+    while (relay.router().speeds().slowCount(now) > 0) {
+        ASSERT_TRUE(follow());
+        ASSERT_LT(now, TimePoint { 130s });
+    }
+    EXPECT_EQ(follower.router().speeds().slowCount(now), 0U);
+}
+
 // Guards against a list that outlives its relay: upstreams must not be avoided for what was true before its loss.
 TEST_F(SpeedExchangeTest, ForgetsTheListOfALostRelay)
 {
--- a/tests/views/directory_relay_test.cpp
+++ b/tests/views/directory_relay_test.cpp
@@ -406,6 +406,100 @@
     EXPECT_EQ(dueAnswers.front().changes.age, 500ms);
 }
 
+/// A relay that learns slow upstreams. Followers ask every half second.
+class SlowListTest : public DirectoryRelayTest
+{
+protected:
+    void learn(std::vector<SlowUpstream> slow)
+    {
+        vm.relay.setSlowUpstreams(std::make_shared<const std::vector<SlowUpstream>>(std::move(slow)));
+    }
+
+    /// The list in the next answer to @p follower; null if there is none.
+    SharedSlowUpstreams listFor(std::uint64_t follower)
+    {
+        now += 500ms;
+        vm.relay.handleRequest(
+            FollowerId { follower },
+            { .after = { 2 },
+              .catalogue = { 1 },
+              .wait = 0ms,
+              .listening = { .address = { static_cast<std::uint32_t>(1000 + follower) }, .port = { 80 } },
+              .zone = {} },
+            now);
+        const auto dueAnswers = answers();
+        EXPECT_EQ(dueAnswers.size(), 1U);
+        return dueAnswers.empty() ? nullptr : dueAnswers.front().changes.slowUpstreams;
+    }
+};
+
+// Guards the bytes between VMs: a list is sent again only if it changed, but before the follower's copy expires.
+TEST_F(SlowListTest, SendsAListOnceUntilItsRefresh)
+{
+    const std::vector<SlowUpstream> slow { { FlowTag { 1 }, 5 }, { FlowTag { 2 }, 2 } };
+    learn(slow);
+    ASSERT_TRUE(listFor(1));
+    for (int refresh = 0; refresh < 3; ++refresh) {
+        for (int i = 0; i < 2; ++i) {
+            learn(slow);
+            EXPECT_FALSE(listFor(1)) << "the same list";
+        }
+        const auto list = listFor(1);
+        ASSERT_TRUE(list) << "refresh " << refresh;
+        EXPECT_EQ(*list, slow);
+    }
+}
+
+// Guards followers from upstreams that became slow, or fast again, since the last answer.
+TEST_F(SlowListTest, SendsAChangedListAtOnce)
+{
+    learn({});
+    ASSERT_TRUE(listFor(1)) << "followers must not use what they observed themselves";
+    for (const double slowness : { 2.0, 2.25, 5.0 }) {
+        learn({ { FlowTag { 1 }, slowness } });
+        const auto list = listFor(1);
+        ASSERT_TRUE(list);
+        EXPECT_EQ(*list, (std::vector<SlowUpstream> { { FlowTag { 1 }, slowness } }));
+        EXPECT_FALSE(listFor(1));
+    }
+    learn({});
+    const auto cleared = listFor(1);
+    ASSERT_TRUE(cleared);
+    EXPECT_TRUE(cleared->empty());
+    EXPECT_FALSE(listFor(1));
+}
+
+// Guards followers that are new, or lost their connection and with it maybe the last answer.
+TEST_F(SlowListTest, SendsTheListToEachNewConnection)
+{
+    learn({ { FlowTag { 1 }, 5 } });
+    EXPECT_TRUE(listFor(1));
+    EXPECT_TRUE(listFor(2));
+    vm.relay.handleDisconnect(FollowerId { 1 });
+    EXPECT_TRUE(listFor(1)) << "before its refresh";
+    EXPECT_FALSE(listFor(2));
+}
+
+// Guards followers from a relay that takes a list for sent although its answer was put off.
+TEST_F(SlowListTest, KeepsTheListWhileARequestWaits)
+{
+    learn({ { FlowTag { 1 }, 5 } });
+    ask(1, 2);
+    watch({}, 3);
+    now -= 1s;
+    EXPECT_TRUE(answers().empty());
+    now += 500ms;
+    const auto dueAnswers = answers();
+    ASSERT_EQ(dueAnswers.size(), 1U);
+    EXPECT_TRUE(dueAnswers.front().changes.slowUpstreams);
+}
+
+// Guards VMs whose relay learns no speeds: they use their own observations.
+TEST_F(SlowListTest, SendsNoListIfItLearnsNone)
+{
+    EXPECT_FALSE(listFor(1));
+}
+
 // Guards a VM that starts while the directory is unreachable: a relay whose last call failed still reports how stale
 // its records are.
 TEST_F(DirectoryRelayTest, ReportsItsStalenessWhenTheDirectoryIsUnreachable)
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -9,21 +9,6 @@
   2: required i32 port
 }
 
-/** Answers of an upstream since the last request of the sender. */
-struct RelaySpeed {
-  1: required i32 upstreamTag
-  2: required i32 answers
-  /** Sum of their latencies, in hundredths of the usual one. */
-  3: required i32 latencyHundredths
-}
-
-/** An upstream that is slower than the others of its service. */
-struct RelaySlowUpstream {
-  1: required i32 upstreamTag
-  /** Its latency in hundredths of that of the others. */
-  2: required i32 slownessHundredths
-}
-
 struct RelayRequest {
   /** Everything after this revision is wanted. */
   1: required i64 after
@@ -38,7 +23,12 @@
   6: optional bool acceptsPacked
   /** Returned with the answer. */
   7: optional i64 requestId
-  8: optional list<RelaySpeed> speeds
+  /** 8 was a list of structs. */
+  /**
+   * Answers of upstreams since the last request of the sender, most significant bytes first. For each upstream its tag
+   * (4 bytes), the number of answers (2) and their mean latency in 1/1024 of the usual one (2); neither is 0.
+   */
+  9: optional binary packedSpeeds
 }
 
 struct RelayUpstream {
@@ -128,6 +118,11 @@
   /** The upstreams are all that exist: the receiver removes any other one. */
   10: optional bool complete
   11: optional list<RelayEvacuation> evacuations
-  /** All that the sender knows of; they replace those of earlier answers. */
-  12: optional list<RelaySlowUpstream> slowUpstreams
+  /** 12 was a list of structs. */
+  /**
+   * Upstreams that are slower than the others of their service, most significant bytes first. For each its tag (4 bytes)
+   * and its latency in hundredths of that of the others (2), above 100. They replace those of earlier answers, which
+   * otherwise stay until they expire.
+   */
+  13: optional binary packedSlowUpstreams
 }
--- a/views/directory_relay.cpp
+++ b/views/directory_relay.cpp
@@ -72,6 +72,7 @@
             continue;
         }
         answers.push_back(answer ? std::move(*answer) : makeAnswer(follower, waiting.request, now));
+        answers.back().changes.slowUpstreams = takeSlowFor(follower, now);
         it = waiting_.erase(it);
     }
     return answers;
@@ -90,10 +91,23 @@
     if (mirror_.outageEnd() && now - *mirror_.outageEnd() < settings_.outageRetention) {
         answer.changes.sinceOutage = now - *mirror_.outageEnd();
     }
-    answer.changes.slowUpstreams = slowUpstreams_;
     return answer;
 }
 
+SharedSlowUpstreams DirectoryRelay::takeSlowFor(FollowerId follower, TimePoint now)
+{
+    if (!slowUpstreams_) {
+        return nullptr;
+    }
+    const auto [found, isNew] = sentSlow_.try_emplace(follower);
+    SentSlow &sent = found->second;
+    if (!isNew && *sent.upstreams == *slowUpstreams_ && now - sent.at < settings_.slowRefresh) {
+        return nullptr;
+    }
+    sent = { .upstreams = slowUpstreams_, .at = now };
+    return slowUpstreams_;
+}
+
 SharedRecords DirectoryRelay::recordsFor(const FollowRequest &request, TimePoint now)
 {
     if (cachedRevision_ != reader_.syncedRevision() || now - cachedAt_ >= settings_.cacheTime) {
--- a/views/directory_relay.h
+++ b/views/directory_relay.h
@@ -31,6 +31,9 @@
     /// How long records are used for several answers. They contain how much longer upstreams are slow after their
     /// start, which may be wrong by this much.
     Duration cacheTime = std::chrono::milliseconds(500);
+    /// A follower gets an unchanged list of slow upstreams again after this long; the list must reach it before
+    /// SpeedSettings::listRetention has passed.
+    Duration slowRefresh = std::chrono::milliseconds(1500);
     /// How long answers report an outage of the directory after its end: as long as records may lapse because of it.
     Duration outageRetention = std::chrono::seconds(5);
 };
@@ -64,13 +67,18 @@
     /// Queues a request; takeAnswers() returns its answer. A later request of the same follower replaces it.
     void handleRequest(FollowerId follower, const FollowRequest &request, TimePoint now);
 
-    /// Discards the request of a follower whose connection was closed.
-    void handleDisconnect(FollowerId follower) { waiting_.erase(follower); }
+    /// Discards what is known of a follower whose connection was closed.
+    void handleDisconnect(FollowerId follower)
+    {
+        waiting_.erase(follower);
+        sentSlow_.erase(follower);
+    }
 
     /// Returns the answers that are due. Call it after each request, each answer of the directory and each tick.
     std::vector<RelayAnswer> takeAnswers(TimePoint now, Random &random);
 
-    /// Sets the slow upstreams that answers contain from now on; null if this VM learns none.
+    /// Sets the slow upstreams that answers contain from now on; null if this VM learns none. A follower gets them with
+    /// its next answer if they differ from those it got last, or if RelaySettings::slowRefresh has passed.
     void setSlowUpstreams(SharedSlowUpstreams upstreams) { slowUpstreams_ = std::move(upstreams); }
 
     /// Number of VMs that follow this one.
@@ -91,10 +99,19 @@
         std::string zone;
     };
 
+    /// The list of slow upstreams that a follower got last.
+    struct SentSlow
+    {
+        SharedSlowUpstreams upstreams;
+        TimePoint at;
+    };
+
     bool acceptsFollower(const Endpoint &listening) const;
     /// The VM that a follower beyond the limit is referred to. Precondition: there is a follower.
     Endpoint referral(const FollowRequest &request, Random &random) const;
     RelayAnswer makeAnswer(FollowerId follower, const FollowRequest &request, TimePoint now);
+    /// The slow upstreams to send to @p follower now; null if it has them. Notes them as sent.
+    SharedSlowUpstreams takeSlowFor(FollowerId follower, TimePoint now);
     SharedRecords recordsFor(const FollowRequest &request, TimePoint now);
 
     const DirectoryMirror &mirror_;
@@ -106,6 +123,8 @@
     DirectoryRevision cachedRevision_;
     TimePoint cachedAt_;
     SharedSlowUpstreams slowUpstreams_;
+    /// By connection, so that a follower that connects again gets the list at once.
+    std::map<FollowerId, SentSlow> sentSlow_;
     /// By the address at which they serve their own followers.
     std::map<Endpoint, Follower> followers_;
 };
