Compare two catalogues of the directory before one is written

Operators of a fabric with flow tags could check a catalogue, but not see what it changes: `boragelugctl diff` read only the YAML catalogues of the other mode.

Values of a wrong type, which VMs silently replace by a default, are errors with their place.

--- a/programs/boragelugctl/offline_commands.cpp
+++ b/programs/boragelugctl/offline_commands.cpp
@@ -3,16 +3,20 @@
 #include "drivers/yaml_map.h"
 #include "drivers/yaml_settings.h"
 #include "model/catalogue_diff.h"
+#include "model/directory_diff.h"
 #include "model/validation.h"
 #include "platform/store_check.h"
 #include "platform/store_codec.h"
+#include "platform/store_types.h"
 #include "programs/boragelugctl/commands.h"
 
 #include <nlohmann/json.hpp>
 #include <sysexits.h>
 
+#include <algorithm>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace boragelug
 {
@@ -34,6 +38,8 @@
     { "help", 'h', "", "show this text" },
 };
 const std::vector<OptionSpec> diffOptions = {
+    { "directory-catalogue", 'd', "FILE", "new catalogue of a fabric with flow tags, in JSON; needs --against" },
+    { "against", 'a', "OLD", "catalogue in force, in the same form; compared with that of --directory-catalogue" },
     { "json", 'j', "", "write JSON" },
     { "forbid-breaking", 'f', "", "exit with 65 if running work breaks or VMs would ignore the version" },
     { "help", 'h', "", "show this text" },
@@ -171,6 +177,88 @@
         << '\n';
 }
 
+/// Name or value for a line of text; quoted if it has spaces or other characters that would make the line ambiguous.
+std::string lineText(const std::string &value)
+{
+    const bool isPlain = !value.empty()
+        && std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c <= '~' && c != '"'; });
+    return isPlain ? value : nlohmann::json(value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+/// One line for each added or removed item and for each changed field.
+void printLines(const CatalogueDiff &diff, std::ostream &out)
+{
+    for (const CatalogueChange &change : diff.changes) {
+        const std::string item = change.item + ' ' + lineText(change.name) + ' ';
+        if (change.kind == ChangeKind::Changed) {
+            for (const FieldChange &field : change.fields) {
+                out << item << field.field << ": " << lineText(field.before) << " -> " << lineText(field.after) << '\n';
+            }
+            continue;
+        }
+        out << item << changeName(change.kind) << ':';
+        for (const FieldChange &field : change.fields) {
+            const std::string &value = change.kind == ChangeKind::Added ? field.after : field.before;
+            // The item's name is on the line already.
+            if (field.field != "name") {
+                out << ' ' << field.field << '=' << lineText(value);
+            }
+        }
+        out << '\n';
+    }
+    if (diff.changes.empty()) {
+        out << "no differences\n";
+    }
+}
+
+/// Reads a catalogue of the directory; reports why it can't be read.
+std::optional<CatalogueRecord> readDirectoryCatalogue(const std::string &path, const CommandStreams &streams)
+{
+    YamlContext context { path, {}, {} };
+    const auto text = readTextFile(path, maxDirectoryBytes, context);
+    print(context.problems, streams);
+    if (!text) {
+        return std::nullopt;
+    }
+    auto record = readStoreCatalogue(*text, path);
+    if (!record) {
+        print(record.lastReason(), streams);
+        return std::nullopt;
+    }
+    return std::move(record.value());
+}
+
+/// Reports if VMs would ignore the new version, and returns the exit code.
+int concludeDiff(const CatalogueDiff &diff,
+                 const std::pair<CatalogueVersion, CatalogueVersion> &versions,
+                 const std::string &path,
+                 bool forbidBreaking,
+                 const CommandStreams &streams)
+{
+    const bool isIgnored = !diff.isNewer && !diff.changes.empty();
+    if (isIgnored) {
+        streams.err << path << ": version " << versions.second.value << " is not higher than " << versions.first.value
+                    << ", so VMs ignore it\n";
+    }
+    const bool isHarmful = isIgnored || highestImpact(diff) == ChangeImpact::BreaksWork;
+    return forbidBreaking && isHarmful ? EX_DATAERR : EX_OK;
+}
+
+int diffDirectory(const std::string &path,
+                  const std::string &against,
+                  const ParsedOptions &options,
+                  const CommandStreams &streams)
+{
+    const auto before = readDirectoryCatalogue(against, streams);
+    const auto after = readDirectoryCatalogue(path, streams);
+    if (!before || !after) {
+        return EX_DATAERR;
+    }
+    const CatalogueDiff diff = diffDirectoryCatalogues(*before, *after);
+    options.has("json") ? printJson(diff, streams.out) : printLines(diff, streams.out);
+    return concludeDiff(diff, { before->version, after->version }, path, options.has("forbid-breaking"), streams);
+}
+
 } // namespace
 
 int runCheck(const CommandWords &words, const CommandStreams &streams)
@@ -228,11 +316,27 @@
 {
     const ParsedOptions options = parseOptions(words, diffOptions);
     if (options.has("help")) {
-        streams.out << "Usage: boragelugctl diff [-j] [-f] OLD NEW\n"
-                       "Shows which flows, limits and classes the change from catalogue OLD to NEW affects.\n\n"
-                    << optionHelp(diffOptions);
+        streams.out
+            << "Usage: boragelugctl diff [-j] [-f] OLD NEW\n"
+               "       boragelugctl diff [-j] [-f] -d FILE -a OLD\n"
+               "Shows which flows, limits and classes the change from catalogue OLD to NEW affects; with -d, one "
+               "line for\neach difference as ITEM NAME FIELD: OLD -> NEW. Exits with 0 also if there are "
+               "differences, with 64 for\nwrong usage, and with 65 if a catalogue can't be read, or for "
+               "--forbid-breaking.\n\n"
+            << optionHelp(diffOptions);
         return EX_OK;
     }
+    const auto directoryPath = options.value("directory-catalogue");
+    const auto against = options.value("against");
+    if (directoryPath.has_value() != against.has_value()) {
+        throw UsageError("--directory-catalogue and --against need each other");
+    }
+    if (directoryPath) {
+        if (!options.operands.empty()) {
+            throw UsageError("--directory-catalogue takes no other catalogue than that of --against");
+        }
+        return diffDirectory(*directoryPath, *against, options, streams);
+    }
     if (options.operands.size() != 2) {
         throw UsageError("diff needs two catalogue files");
     }
@@ -248,12 +352,8 @@
     }
     const CatalogueDiff diff = diffCatalogues(*before, *after);
     options.has("json") ? printJson(diff, streams.out) : printText(diff, streams.out);
-    if (!diff.isNewer && !diff.changes.empty()) {
-        streams.err << options.operands[1] << ": version " << after->version.value << " is not higher than "
-                    << before->version.value << ", so VMs ignore it\n";
-    }
-    const bool harmful = highestImpact(diff) == ChangeImpact::BreaksWork || (!diff.isNewer && !diff.changes.empty());
-    return options.has("forbid-breaking") && harmful ? EX_DATAERR : EX_OK;
+    return concludeDiff(
+        diff, { before->version, after->version }, options.operands[1], options.has("forbid-breaking"), streams);
 }
 
 } // namespace boragelug
--- a/tests/programs/boragelugctl_test.cpp
+++ b/tests/programs/boragelugctl_test.cpp
@@ -68,6 +68,9 @@
         { { "check", "--sett" }, "missing value after '--sett'" },
         { { "check", "-z" }, "unknown or ambiguous option '-z'" },
         { { "diff", "one" }, "needs two catalogue files" },
+        { { "diff", "-d", "a" }, "--directory-catalogue and --against need each other" },
+        { { "diff", "-a", "a", "b", "c" }, "--directory-catalogue and --against need each other" },
+        { { "diff", "-d", "a", "-a", "b", "c" }, "takes no other catalogue than that of --against" },
         { { "catalogue", "x" }, "needs 'to-json'" },
         { { "status" }, "name at least one VM" },
         { { "status", "-v", "localhost" }, "'localhost' is no admin endpoint" },
@@ -204,6 +207,43 @@
     std::filesystem::remove(after);
 }
 
+// Guards scripts that compare a catalogue of the directory with the one in force before they write it.
+TEST(Boragelugctl, DiffsCataloguesOfTheDirectory)
+{
+    const std::string old = testing::TempDir() + "old_" + std::to_string(::getpid()) + ".json";
+    const std::string path = testing::TempDir() + "new_" + std::to_string(::getpid()) + ".json";
+    const auto write = [](const std::string &file, const std::string &version, const std::string &routes) {
+        std::ofstream(file) << R"({"version":)" << version << R"(,"routes":[)" << routes << "]}";
+    };
+    const std::string board = R"({"name":"a board","host":"198.18.0.1","prefix":"/1/","service":"a","timeout_ms":)";
+    write(old, "1", board + "900}");
+    write(path, "2", board + R"(1000},{"name":"x","host":"198.18.0.1","prefix":"/2/","service":"a\nb"})");
+    const CommandRun changed = run({ "diff", "-f", "-d", path, "--against", old });
+    EXPECT_EQ(changed.code, EX_OK) << changed.err;
+    EXPECT_EQ(changed.out,
+              "entry \"a board\" timeout: 900ms -> 1s\n"
+              "entry x added: address=198.18.0.1:2 services=\"a\\nb\" idempotent=false latency_objective=none "
+              "timeout=none priority=100\n");
+    EXPECT_EQ(run({ "diff", "-d", old, "-a", old }).out, "no differences\n");
+    const CommandRun removed = run({ "diff", "-f", "-d", old, "-a", path });
+    EXPECT_EQ(removed.code, EX_DATAERR);
+    EXPECT_THAT(removed.out, HasSubstr("entry x removed: address=198.18.0.1:2"));
+    EXPECT_THAT(removed.err, HasSubstr("version 1 is not higher than 2, so VMs ignore it"));
+    EXPECT_EQ(run({ "diff", "-d", old, "-a", path }).code, EX_OK);
+    EXPECT_THAT(run({ "diff", "-j", "-d", path, "-a", old }).out, HasSubstr("\"impact\": \"new_work\""));
+    write(path, "2", board + R"("soon"})");
+    const CommandRun wrong = run({ "diff", "-d", path, "-a", old });
+    EXPECT_EQ(wrong.code, EX_DATAERR);
+    EXPECT_THAT(wrong.err, HasSubstr("routes[0].timeout_ms: must be an integer"));
+    EXPECT_EQ(std::count(wrong.err.begin(), wrong.err.end(), '\n'), 1);
+    EXPECT_EQ(wrong.out, "");
+    const CommandRun missing = run({ "diff", "-d", old, "-a", "missing.json" });
+    EXPECT_EQ(missing.code, EX_DATAERR);
+    EXPECT_EQ(missing.err, "missing.json: can't be opened for reading\n");
+    std::filesystem::remove(old);
+    std::filesystem::remove(path);
+}
+
 /// Shows 3 events over two pages and a fixed status.
 class ExampleSource : public AdminSource
 {
