Compare a catalogue of the directory with the one in force at a VM

The file that an operator has of the last version need not be the one that the VMs use. Durations are nanoseconds, so that none is rounded.

The fuzz targets admin and store read both forms.

--- a/drivers/admin_routes.cpp
+++ b/drivers/admin_routes.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_severity.h"
 #include "drivers/admin_json.h"
+#include "drivers/directory_json.h"
 #include "drivers/event_text.h"
 #include "drivers/yaml_map.h"
 
@@ -177,19 +178,40 @@
     return { 200, "application/json", explanationToJson(*explanation) };
 }
 
+AdminAnswer answerCatalogue(const AdminRequest &request, const AdminSource &source)
+{
+    Parameters parameters(request);
+    parameters.allowOnly({ "after", "limit" });
+    const auto after = parameters.parsed("after", "the address of an entry", parseEndpoint);
+    const auto limit = parameters.parsed("limit", "a number of entries over 0", [](std::string_view text) {
+        const auto number = parseNumber(text);
+        return number == 0 ? std::nullopt : number;
+    });
+    if (!parameters.mistake().empty()) {
+        return textAnswer(400, parameters.mistake());
+    }
+    const auto most = std::min<std::uint64_t>(limit.value_or(maxEntriesPerAnswer), maxEntriesPerAnswer);
+    const auto page = source.catalogue(after, most);
+    if (!page) {
+        return textAnswer(404, page.lastReason());
+    }
+    return { 200, "application/json", cataloguePageToJson(*page) };
+}
+
 struct Route
 {
     std::string_view path;
     AdminAnswer (*answer)(const AdminRequest &, const AdminSource &);
 };
 
-constexpr std::array<Route, 6> routes { {
+constexpr std::array<Route, 7> routes { {
     { "/healthz", answerHealth },
     { "/readyz", answerReadiness },
     { "/metrics", answerMetrics },
     { "/status", answerStatus },
     { "/events", answerEvents },
     { "/explain", answerExplain },
+    { "/catalogue", answerCatalogue },
 } };
 
 } // namespace
--- a/fuzz/admin_fuzz.cpp
+++ b/fuzz/admin_fuzz.cpp
@@ -1,4 +1,5 @@
 #include "drivers/admin_codec.h"
+#include "drivers/directory_json.h"
 #include "fuzz/fuzz_input.h"
 
 #include <algorithm>
@@ -22,6 +23,10 @@
     readAdminRequest(input.text);
     decodeAdminAnswer(input.text, 1U << 16U);
     parseTarget(input.text);
+    if (const auto page = cataloguePageFromJson(input.text)) {
+        const auto again = cataloguePageFromJson(cataloguePageToJson(*page));
+        require(again && *again == *page);
+    }
     // Only control characters are rejected once they are decoded.
     const auto target = parseTarget("/events?cause=" + encodeQueryValue(input.text));
     require(target ? target->query.at("cause") == input.text
--- a/fuzz/make_corpus.cpp
+++ b/fuzz/make_corpus.cpp
@@ -1,3 +1,4 @@
+#include "drivers/directory_json.h"
 #include "drivers/http_codec.h"
 #include "drivers/peer_codec.h"
 #include "drivers/relay_codec.h"
@@ -126,6 +127,7 @@
     corpus.write("store",
                  R"({"events":[)" + items + R"(,{"key":")" + soak::hostKey({ 1 })
                      + R"(","revision":6,"removed":true}],"as_of":9})");
+    corpus.write("store", soak::catalogueValue(catalogue()));
     corpus.write("store", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
     const auto sealed = sealPeerMessage(
         { .sender = { 1 }, .incarnation = { 2 }, .sequence = 3, .sentAt = {} }, PeerMessage {}, PeerKey {});
@@ -134,6 +136,7 @@
                  encodeCallerMessage({ .intent = CallerIntent::Request, .method = "GET", .target = "/", .host = "a" }));
     corpus.write("http", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     corpus.write("http", R"({"version":1,"parts":[]})");
+    corpus.write("admin", cataloguePageToJson({ .record = catalogue(), .more = true }));
     corpus.write("admin", "GET /events?cause=2a&since=2026-12-04T05:22:56Z HTTP/1.1\r\nHost: vm\r\n\r\n");
     corpus.write("settings",
                  "vm: a\nzone: b\nendpoints: {packet: 127.0.0.1:1, admin: 127.0.0.1:2}\ndirectory: 127.0.0.1:3\n"
--- a/fuzz/store_fuzz.cpp
+++ b/fuzz/store_fuzz.cpp
@@ -1,5 +1,6 @@
 #include "fuzz/fuzz_input.h"
 #include "platform/store_directory.h"
+#include "platform/store_types.h"
 #include "views/directory_mirror.h"
 
 using namespace boragelug;
@@ -31,5 +32,6 @@
         mirror.applyChanges(*changes, now);
     }
     mirror.publish();
+    readStoreCatalogue(std::string(input.text), "input");
     return 0;
 }
--- a/node/tagged_node.h
+++ b/node/tagged_node.h
@@ -164,6 +164,8 @@
 
     const TaggedRouter &router() const { return router_; }
     const std::shared_ptr<const DirectoryView> &view() const { return view_; }
+    /// The catalogue in force; its version is 0 if there is none.
+    const CatalogueMirror &catalogue() const { return mirror_.catalogue(); }
     /// Number of availability zones that are evacuated.
     std::size_t evacuatedZones() const { return mirror_.evacuatedZones(); }
     /// Whether the last answer of the directory is recent.
--- a/programs/boragelugctl/offline_commands.cpp
+++ b/programs/boragelugctl/offline_commands.cpp
@@ -9,6 +9,8 @@
 #include "platform/store_codec.h"
 #include "platform/store_types.h"
 #include "programs/boragelugctl/commands.h"
+#include "programs/boragelugctl/fleet_client.h"
+#include "programs/boragelugctl/served_catalogue.h"
 
 #include <nlohmann/json.hpp>
 #include <sysexits.h>
@@ -37,14 +39,24 @@
     { "key", 'k', "", "also check the key files that the settings name" },
     { "help", 'h', "", "show this text" },
 };
-const std::vector<OptionSpec> diffOptions = {
-    { "directory-catalogue", 'd', "FILE", "new catalogue of a fabric with flow tags, in JSON; needs --against" },
+const std::vector<OptionSpec> diffBaseOptions = {
+    { "directory-catalogue",
+      'd',
+      "FILE",
+      "new catalogue of a fabric with flow tags, in JSON; needs --against or --vm" },
     { "against", 'a', "OLD", "catalogue in force, in the same form; compared with that of --directory-catalogue" },
     { "json", 'j', "", "write JSON" },
     { "forbid-breaking", 'f', "", "exit with 65 if running work breaks or VMs would ignore the version" },
     { "help", 'h', "", "show this text" },
 };
 
+std::vector<OptionSpec> makeDiffOptions()
+{
+    std::vector<OptionSpec> specs = fleetOptions();
+    specs.insert(specs.end(), diffBaseOptions.begin(), diffBaseOptions.end());
+    return specs;
+}
+
 void print(const Problems &problems, const CommandStreams &streams)
 {
     for (const Problem &problem : problems) {
@@ -244,19 +256,44 @@
     return forbidBreaking && isHarmful ? EX_DATAERR : EX_OK;
 }
 
-int diffDirectory(const std::string &path,
-                  const std::string &against,
+int diffDirectory(const CatalogueRecord &before,
+                  const CatalogueRecord &after,
+                  const std::string &path,
                   const ParsedOptions &options,
                   const CommandStreams &streams)
+{
+    const CatalogueDiff diff = diffDirectoryCatalogues(before, after);
+    options.has("json") ? printJson(diff, streams.out) : printLines(diff, streams.out);
+    return concludeDiff(diff, { before.version, after.version }, path, options.has("forbid-breaking"), streams);
+}
+
+int diffWithFile(const std::string &path,
+                 const std::string &against,
+                 const ParsedOptions &options,
+                 const CommandStreams &streams)
 {
     const auto before = readDirectoryCatalogue(against, streams);
     const auto after = readDirectoryCatalogue(path, streams);
-    if (!before || !after) {
+    return before && after ? diffDirectory(*before, *after, path, options, streams) : EX_DATAERR;
+}
+
+int diffWithVm(const std::string &path, const ParsedOptions &options, const CommandStreams &streams)
+{
+    const std::vector<Endpoint> vms = fleetFrom(options);
+    if (vms.size() != 1) {
+        throw UsageError("diff compares with the catalogue of one VM");
+    }
+    const Duration timeout = timeoutFrom(options);
+    const auto after = readDirectoryCatalogue(path, streams);
+    if (!after) {
         return EX_DATAERR;
     }
-    const CatalogueDiff diff = diffDirectoryCatalogues(*before, *after);
-    options.has("json") ? printJson(diff, streams.out) : printLines(diff, streams.out);
-    return concludeDiff(diff, { before->version, after->version }, path, options.has("forbid-breaking"), streams);
+    const auto before = readServedCatalogue(vms.front(), timeout);
+    if (!before) {
+        streams.err << "VM at " << toString(vms.front()) << ": " << before.lastReason() << '\n';
+        return EX_UNAVAILABLE;
+    }
+    return diffDirectory(*before, *after, path, options, streams);
 }
 
 } // namespace
@@ -314,11 +351,12 @@
 
 int runDiff(const CommandWords &words, const CommandStreams &streams)
 {
+    const auto diffOptions = makeDiffOptions();
     const ParsedOptions options = parseOptions(words, diffOptions);
     if (options.has("help")) {
         streams.out
             << "Usage: boragelugctl diff [-j] [-f] OLD NEW\n"
-               "       boragelugctl diff [-j] [-f] -d FILE -a OLD\n"
+               "       boragelugctl diff [-j] [-f] -d FILE (-a OLD | -v VM)\n"
                "Shows which flows, limits and classes the change from catalogue OLD to NEW affects; with -d, one "
                "line for\neach difference as ITEM NAME FIELD: OLD -> NEW. Exits with 0 also if there are "
                "differences, with 64 for\nwrong usage, and with 65 if a catalogue can't be read, or for "
@@ -328,14 +366,16 @@
     }
     const auto directoryPath = options.value("directory-catalogue");
     const auto against = options.value("against");
-    if (directoryPath.has_value() != against.has_value()) {
-        throw UsageError("--directory-catalogue and --against need each other");
+    const bool asksVm = options.has("vm") || options.has("vms");
+    if (directoryPath.has_value() != (against.has_value() || asksVm) || (against.has_value() && asksVm)) {
+        throw UsageError("--directory-catalogue needs one of --against and --vm, which need it as well");
     }
     if (directoryPath) {
         if (!options.operands.empty()) {
             throw UsageError("--directory-catalogue takes no other catalogue than that of --against");
         }
-        return diffDirectory(*directoryPath, *against, options, streams);
+        return against ? diffWithFile(*directoryPath, *against, options, streams)
+                       : diffWithVm(*directoryPath, options, streams);
     }
     if (options.operands.size() != 2) {
         throw UsageError("diff needs two catalogue files");
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -134,6 +134,27 @@
     return explanation;
 }
 
+Outcome<CataloguePage, std::string> TaggedAdmin::catalogue(const std::optional<Endpoint> &after, std::size_t most) const
+{
+    const CatalogueMirror &catalogue = node_.catalogue();
+    if (catalogue.version().value == 0) {
+        return Outcome<CataloguePage, std::string>::failure("the directory's catalogue has not been read yet");
+    }
+    CataloguePage page;
+    page.record.version = catalogue.version();
+    page.record.flowIdleTimeout = catalogue.flowIdleTimeout();
+    if (!after) {
+        page.record.services = catalogue.services();
+    }
+    // One more than asked for tells whether entries follow.
+    page.record.entries = catalogue.entriesAfter(after, most + 1);
+    page.more = page.record.entries.size() > most;
+    if (page.more) {
+        page.record.entries.pop_back();
+    }
+    return page;
+}
+
 void TaggedAdmin::exportMetrics()
 {
     metrics_.set("boragelug_ready", node_.isReady() ? 1 : 0, {});
--- a/programs/tagged_admin.h
+++ b/programs/tagged_admin.h
@@ -29,6 +29,8 @@
     StatusReport status() const override;
     EventSelection events(const EventFilter &filter, std::uint64_t afterSequence, std::size_t most) const override;
     Outcome<Explanation, std::string> explain(const ExplainQuery &query) const override;
+    Outcome<CataloguePage, std::string> catalogue(const std::optional<Endpoint> &after,
+                                                  std::size_t most) const override;
     std::string metrics() const override { return metrics_.exposition(); }
 
     /// Adds what the node counted since the last call. Call it once a second.
--- a/servers/admin_source.h
+++ b/servers/admin_source.h
@@ -5,6 +5,7 @@
 #include "core/outcome.h"
 #include "core/time_point.h"
 #include "model/catalogue.h"
+#include "model/directory_record.h"
 #include "model/endpoint.h"
 
 #include <cstdint>
@@ -146,6 +147,17 @@
     std::vector<Event> events;
 };
 
+/// A part of the directory's catalogue in force.
+struct CataloguePage
+{
+    /// Entries in the order of their addresses; services only on the first page.
+    CatalogueRecord record;
+    /// Entries follow after the last one.
+    bool more = false;
+
+    bool operator==(const CataloguePage &) const = default;
+};
+
 /**
  * What the admin server shows of its process.
  *
@@ -168,6 +180,15 @@
     /// What is known of a flow or request, or why nothing is.
     virtual Outcome<Explanation, std::string> explain(const ExplainQuery &query) const = 0;
 
+    /// At most @p most entries of the directory's catalogue after address @p after, or from the first one; or why there
+    /// is no catalogue.
+    virtual Outcome<CataloguePage, std::string> catalogue(const std::optional<Endpoint> &after, std::size_t most) const
+    {
+        static_cast<void>(after);
+        static_cast<void>(most);
+        return Outcome<CataloguePage, std::string>::failure("this VM reads no catalogue of a directory");
+    }
+
     /// All metrics in the Prometheus text format.
     virtual std::string metrics() const = 0;
 };
--- a/tests/drivers/admin_test.cpp
+++ b/tests/drivers/admin_test.cpp
@@ -1,6 +1,7 @@
 #include "drivers/admin_json.h"
 #include "drivers/admin_routes.h"
 #include "drivers/admin_server.h"
+#include "drivers/directory_json.h"
 #include "drivers/event_text.h"
 
 #include <asio/buffer.hpp>
@@ -25,6 +26,10 @@
     MOCK_METHOD(StatusReport, status, (), (const, override));
     MOCK_METHOD(EventSelection, events, (const EventFilter &, std::uint64_t, std::size_t), (const, override));
     MOCK_METHOD((Outcome<Explanation, std::string>), explain, (const ExplainQuery &), (const, override));
+    MOCK_METHOD((Outcome<CataloguePage, std::string>),
+                catalogue,
+                (const std::optional<Endpoint> &, std::size_t),
+                (const, override));
     MOCK_METHOD(std::string, metrics, (), (const, override));
 };
 
@@ -163,6 +168,43 @@
     EXPECT_EQ(parseFlowQuery("00000000000000ff")->key, FlowKey { 255 });
 }
 
+// Guards against a value of the catalogue that is lost on the way to the operator, and against unbounded answers.
+TEST_F(AdminTest, CatalogueSurvivesJson)
+{
+    CataloguePage page;
+    page.record.version = CatalogueVersion { 7 };
+    page.record.flowIdleTimeout = std::chrono::milliseconds(1500);
+    page.record.services = { { .name = "a", .coldStart = Duration { 1999999999 }, .coldRequestsPerSecond = 0.1 } };
+    page.record.entries = { { .name = EntryName { "x \"y\"" },
+                              .address = *parseEndpoint("198.18.0.1:443"),
+                              .services = { { .service = "a", .weight = 4294967295 }, { .service = "b" } },
+                              .idempotent = true,
+                              .latencyObjective = std::chrono::milliseconds(400),
+                              .timeout = std::chrono::milliseconds(2500),
+                              .priority = 3 } };
+    page.more = true;
+    const std::optional<Endpoint> after = parseEndpoint("198.18.0.1:442");
+    EXPECT_CALL(source_, catalogue(after, maxEntriesPerAnswer)).WillOnce(Return(page));
+    const AdminAnswer answer = get("/catalogue?after=198.18.0.1:442&limit=99999999");
+    EXPECT_EQ(answer.status, 200);
+    const auto readBack = cataloguePageFromJson(answer.body);
+    ASSERT_TRUE(readBack) << readBack.lastReason();
+    EXPECT_EQ(*readBack, page);
+    for (std::size_t size = 0; size + 1 < answer.body.size(); ++size) {
+        EXPECT_FALSE(cataloguePageFromJson(answer.body.substr(0, size))) << size;
+    }
+    for (const char *text : { "[]",
+                              "{}",
+                              "7",
+                              R"({"version":-1,"flow_idle_timeout_ns":null,"services":[],)"
+                              R"("entries":[],"more":false})" }) {
+        EXPECT_FALSE(cataloguePageFromJson(text)) << text;
+    }
+    using Result = Outcome<CataloguePage, std::string>;
+    EXPECT_CALL(source_, catalogue(testing::Eq(std::nullopt), 2)).WillOnce(Return(Result::failure("not yet")));
+    EXPECT_EQ(get("/catalogue?limit=2").status, 404);
+}
+
 // Guards against mistyped parameters that silently widen a query.
 TEST_F(AdminTest, RefusesMistakesWithValidValues)
 {
@@ -176,6 +218,9 @@
         { "/explain?flow=1&request=2", "exactly one of the parameters" },
         { "/explain?flow=sctp,1.2.3.4:5,1.2.3.4:5", "parameter 'flow' must be PROTOCOL,CALLER,ENTRY" },
         { "/explain?request=", "must be a request id" },
+        { "/catalogue?after=x", "parameter 'after' must be the address of an entry, not 'x'" },
+        { "/catalogue?limit=0", "parameter 'limit' must be a number of entries over 0" },
+        { "/catalogue?entry=x", "unknown parameter 'entry'; valid: after, limit" },
         { "/events?a=%zz", "malformed" },
         { "/events?a=1&a=2", "malformed" },
         { "events", "malformed" },
--- a/tests/programs/boragelugctl_test.cpp
+++ b/tests/programs/boragelugctl_test.cpp
@@ -10,6 +10,7 @@
 #include "programs/boragelugctl/fleet_status.h"
 
 #include <algorithm>
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -68,8 +69,10 @@
         { { "check", "--sett" }, "missing value after '--sett'" },
         { { "check", "-z" }, "unknown or ambiguous option '-z'" },
         { { "diff", "one" }, "needs two catalogue files" },
-        { { "diff", "-d", "a" }, "--directory-catalogue and --against need each other" },
-        { { "diff", "-a", "a", "b", "c" }, "--directory-catalogue and --against need each other" },
+        { { "diff", "-d", "a" }, "--directory-catalogue needs one of --against and --vm" },
+        { { "diff", "-a", "a", "b", "c" }, "--directory-catalogue needs one of --against and --vm" },
+        { { "diff", "-d", "a", "-a", "b", "-v", "127.0.0.1:1" }, "--directory-catalogue needs one of --against" },
+        { { "diff", "-d", "a", "-v", "127.0.0.1:1", "-v", "127.0.0.1:2" }, "with the catalogue of one VM" },
         { { "diff", "-d", "a", "-a", "b", "c" }, "takes no other catalogue than that of --against" },
         { { "catalogue", "x" }, "needs 'to-json'" },
         { { "status" }, "name at least one VM" },
@@ -274,7 +277,28 @@
         return selection;
     }
     Outcome<Explanation, std::string> explain(const ExplainQuery &) const override { return Explanation {}; }
+    /// Pages of two entries. The version changes while the first reading is in progress.
+    Outcome<CataloguePage, std::string> catalogue(const std::optional<Endpoint> &after, std::size_t) const override
+    {
+        CataloguePage page;
+        page.record.version = CatalogueVersion { ++catalogueReads < 2 ? 4U : 5U };
+        page.record.services = { { .name = "a", .coldStart = std::chrono::seconds(2), .coldRequestsPerSecond = 20 } };
+        const int first = after ? after->port.value + 1 : 1;
+        for (int port = first; port < first + 2 && port <= 5; ++port) {
+            EntryRecord entry;
+            entry.name = EntryName { "e" + std::to_string(port) };
+            entry.address = *parseEndpoint("198.18.0.1:" + std::to_string(port));
+            entry.services = { { .service = "a", .weight = 1 } };
+            entry.priority = 100;
+            page.record.entries.push_back(std::move(entry));
+        }
+        page.more = repeatsPages || first + 1 < 5;
+        return page;
+    }
     std::string metrics() const override { return {}; }
+
+    mutable std::atomic<int> catalogueReads = 0;
+    std::atomic<bool> repeatsPages = false;
 };
 
 /// An admin server on its own thread, since the commands block.
@@ -343,5 +367,29 @@
     EXPECT_EQ(run({ "explain", "-v", closedPort(), "-r", "id" }).code, EX_UNAVAILABLE);
 }
 
+// Guards against a comparison with half of the catalogue in force, or with parts of two versions.
+TEST_F(FleetTest, DiffComparesWithTheCatalogueOfAVm)
+{
+    const std::string path = testing::TempDir() + "next_" + std::to_string(::getpid()) + ".json";
+    std::string routes;
+    for (int port = 1; port <= 5; ++port) {
+        routes += std::string(port == 1 ? "" : ",") + R"({"host":"198.18.0.1","prefix":"/)" + std::to_string(port)
+            + R"(/","service":"a","name":"e)" + std::to_string(port) + R"(","priority":)" + (port == 4 ? "3}" : "100}");
+    }
+    std::ofstream(path) << R"({"version":6,"services":{"a":{"cold_per_s":20,"cold_start_s":2}},"routes":[)" << routes
+                        << "]}";
+    const CommandRun result = run({ "diff", "-d", path, "-v", endpoint_ });
+    EXPECT_EQ(result.code, EX_OK) << result.err;
+    EXPECT_EQ(result.out, "entry e4 priority: 100 -> 3\n");
+    const CommandRun closed = run({ "diff", "-d", path, "-v", closedPort() });
+    EXPECT_EQ(closed.code, EX_UNAVAILABLE);
+    EXPECT_THAT(closed.err, HasSubstr("Connection refused"));
+    source_.repeatsPages = true;
+    const CommandRun endless = run({ "diff", "-d", path, "-v", endpoint_ });
+    EXPECT_EQ(endless.code, EX_UNAVAILABLE);
+    EXPECT_THAT(endless.err, HasSubstr("has no entries, but says that there are more"));
+    std::filesystem::remove(path);
+}
+
 } // namespace
 } // namespace boragelug
--- a/tests/views/catalogue_mirror_test.cpp
+++ b/tests/views/catalogue_mirror_test.cpp
@@ -38,6 +38,29 @@
     return mirror.adopt(item, std::get<CatalogueRecord>(item.content));
 }
 
+// Entries that a page leaves out would be shown to operators as removed.
+TEST(CatalogueMirrorTest, PagesHaveAllEntries)
+{
+    CatalogueMirror mirror;
+    EXPECT_TRUE(mirror.entriesAfter(std::nullopt, 5).empty());
+    std::vector<EntryRecord> entries;
+    for (std::uint32_t i = 1; i <= 10; ++i) {
+        entries.push_back(entry(i));
+    }
+    adopt(mirror, catalogue(1, 10, entries));
+    for (std::size_t most = 1; most <= 11; ++most) {
+        std::vector<EntryRecord> all;
+        std::optional<Endpoint> after;
+        for (auto page = mirror.entriesAfter(after, most); !page.empty(); page = mirror.entriesAfter(after, most)) {
+            EXPECT_LE(page.size(), most);
+            all.insert(all.end(), page.begin(), page.end());
+            after = all.back().address;
+        }
+        EXPECT_EQ(all, entries) << most;
+    }
+    EXPECT_EQ(mirror.entriesAfter(Endpoint { .address = { 5 }, .port = { 1 } }, 1).front(), entry(5));
+}
+
 // A change of one entry of a large catalogue must not cost the bytes of all entries on the way to each VM.
 TEST(CatalogueMirrorTest, TellsOnlyWhatChanged)
 {
--- a/views/catalogue_mirror.cpp
+++ b/views/catalogue_mirror.cpp
@@ -136,6 +136,16 @@
     return item;
 }
 
+std::vector<EntryRecord> CatalogueMirror::entriesAfter(const std::optional<Endpoint> &after, std::size_t most) const
+{
+    std::vector<EntryRecord> some;
+    for (auto it = after ? entries_.upper_bound(*after) : entries_.begin(); it != entries_.end() && some.size() < most;
+         ++it) {
+        some.push_back(it->second.record);
+    }
+    return some;
+}
+
 std::vector<EntryRecord> CatalogueMirror::entries() const
 {
     std::vector<EntryRecord> all;
--- a/views/catalogue_mirror.h
+++ b/views/catalogue_mirror.h
@@ -45,6 +45,9 @@
     /// Services whose cold upstreams have a limit.
     const std::vector<ServiceRecord> &services() const { return services_; }
 
+    /// At most @p most entries after address @p after, or from the first one, sorted by address.
+    std::vector<EntryRecord> entriesAfter(const std::optional<Endpoint> &after, std::size_t most) const;
+
     /// All entries, sorted by address.
     std::vector<EntryRecord> entries() const;
 
--- a/views/directory_mirror.h
+++ b/views/directory_mirror.h
@@ -108,6 +108,9 @@
     /// Version of the catalogue; 0 if there is none.
     CatalogueVersion catalogueVersion() const { return catalogue_.version(); }
 
+    /// The catalogue in force.
+    const CatalogueMirror &catalogue() const { return catalogue_; }
+
 private:
     /// A record that was added and removed between these revisions is unknown.
     struct HistoryGap
