Report catalogues without routes and oversized numbers by their place

The fuzz target of the store found two ends of boragelugctl by an exception without a place: a catalogue without `routes`, and a number such as 9e444. Both are findings with a place now.

--- a/tests/platform/store_types_test.cpp
+++ b/tests/platform/store_types_test.cpp
@@ -66,9 +66,12 @@
           "new.json:3:36: services.a.cold_per_s: must be a number from 0 to 1000000" },
         { "{\"version\": 1,\n  \"routes\": [}", "new.json:2:14: is no valid JSON from here on" },
         { "", "new.json:1:1: is no valid JSON" },
+        { "{\"version\": 1,\n  \"routes\": 9e444}", "new.json:2:" },
         { "[]", "new.json:1:1: must be an object" },
         { R"({"routes": []})", "new.json:1:1: has no version" },
         { R"({"version": 0, "routes": []})", "new.json:1:13: version: must be" },
+        { "{}", "new.json:1:1: routes: must be a list" },
+        { R"({"version": 1})", "new.json:1:1: routes: must be a list" },
         { R"({"version": 1, "routes": {}})", "new.json:1:26: routes: must be a list" },
         { R"({"version": 1, "routes": [7]})", "new.json:1:27: routes[0]: must be an object" },
     };
@@ -83,6 +86,10 @@
     const std::string whole = catalogue(R"("backends": [{"service": "a", "weight": 1}])", R"("limits": {})");
     for (std::size_t size = 0; size < whole.size(); ++size) {
         EXPECT_NE(read(whole.substr(0, size)), "") << size;
+        // Names that are missing.
+        std::string renamed = whole;
+        renamed[size] = 'x';
+        read(renamed);
         std::string broken = whole;
         broken[size] = '\xff';
         EXPECT_NE(read(broken), "") << size;
