Show slow upstreams in the status of a VM

Cause: an upstream that a VM takes for slow gets few flows. Operators saw the number of such upstreams and events, but not which are slow now.

Change: /status has up to 20 of the slowest upstreams of the VM with their slowness, and `boragelugctl status` a table of them with the highest slowness and the number of VMs. The table is left out if there are none. Status of VMs that don't send the list is still read.

Tests: FleetTest.StatusShowsSlowUpstreams, ShowsTheSlowest, and the existing test that a status is kept as JSON has one. Admin and operator input tests of drivers_tests, FleetTest and Boragelugctl of programs_tests pass, and the speed tests of node_tests. TaggedAdmin itself has no test.

--- a/drivers/admin_json.cpp
+++ b/drivers/admin_json.cpp
@@ -169,6 +169,14 @@
     for (const json &use : value.at("entries")) {
         report.entries.push_back(useFromJson(use));
     }
+    // VMs of earlier releases don't send it.
+    if (value.contains("slow_upstreams")) {
+        for (const json &slow : value.at("slow_upstreams")) {
+            report.slowUpstreams.push_back({ UpstreamId { slow.at("upstream").get<std::uint64_t>() },
+                                             slow.at("service").get<std::string>(),
+                                             slow.at("slowness").get<double>() });
+        }
+    }
     return report;
 }
 
@@ -198,6 +206,11 @@
     for (const EntryUse &use : report.entries) {
         entries.push_back(useToJson(use));
     }
+    json slowUpstreams = json::array();
+    for (const UpstreamSlowness &slow : report.slowUpstreams) {
+        slowUpstreams.push_back(
+            { { "upstream", slow.upstream.value }, { "service", slow.service }, { "slowness", slow.slowness } });
+    }
     return dump({ { "vm", report.vm.value },
                   { "incarnation", report.incarnation.value },
                   { "zone", report.zone },
@@ -215,7 +228,8 @@
                   { "control_bytes_per_second", report.controlBytesPerSecond },
                   { "services", std::move(services) },
                   { "refused", std::move(refused) },
-                  { "entries", std::move(entries) } });
+                  { "entries", std::move(entries) },
+                  { "slow_upstreams", std::move(slowUpstreams) } });
 }
 
 Outcome<StatusReport, std::string> statusFromJson(std::string_view text)
--- a/programs/boragelugctl/fleet_status.cpp
+++ b/programs/boragelugctl/fleet_status.cpp
@@ -1,10 +1,13 @@
 #include "programs/boragelugctl/fleet_status.h"
 
+#include "core/event.h"
 #include "drivers/admin_json.h"
 #include "programs/boragelugctl/commands.h"
 #include "programs/boragelugctl/text_table.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <sysexits.h>
@@ -116,6 +119,35 @@
     table.print(out);
 }
 
+/// Slow upstreams with the highest slowness that a VM reports; VMs learn the same from their relays.
+void printSlowUpstreams(const std::vector<FleetMember> &fleet, std::ostream &out)
+{
+    struct Slow
+    {
+        double worst = 1;
+        std::size_t vms = 0;
+    };
+    std::map<std::pair<std::string, UpstreamId>, Slow> upstreams;
+    for (const FleetMember &member : fleet) {
+        if (member.status) {
+            for (const UpstreamSlowness &slow : member.status->slowUpstreams) {
+                Slow &seen = upstreams[{ slow.service, slow.upstream }];
+                seen.worst = std::max(seen.worst, slow.slowness);
+                ++seen.vms;
+            }
+        }
+    }
+    if (upstreams.empty()) {
+        return;
+    }
+    TextTable table({ "service", "slow upstream", "times slower", "VMs" });
+    for (const auto &[key, slow] : upstreams) {
+        table.add({ key.first, causeText(key.second.value), decimalText(slow.worst, 1), std::to_string(slow.vms) });
+    }
+    out << '\n';
+    table.print(out);
+}
+
 void printRefusals(const std::vector<FleetMember> &fleet, std::ostream &out)
 {
     std::map<std::string, std::uint64_t> refused;
@@ -210,6 +242,7 @@
     printMembers(fleet, out);
     out << '\n';
     printServices(fleet, out);
+    printSlowUpstreams(fleet, out);
     out << '\n';
     printRefusals(fleet, out);
     out << '\n';
--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -45,6 +45,22 @@
     return all;
 }
 
+std::vector<UpstreamSlowness> slowUpstreams(const TaggedNode &node, TimePoint now)
+{
+    std::map<FlowTag, const DirectoryUpstream *> upstreams;
+    for (const DirectoryUpstream &status : node.view()->upstreams) {
+        upstreams[flowTagOf(status.upstream.id, status.upstream.incarnation)] = &status;
+    }
+    std::vector<UpstreamSlowness> all;
+    for (const SlowUpstream &slow : node.router().speeds().slowest(maxSlowShown, now)) {
+        if (const auto found = upstreams.find(slow.upstream); found != upstreams.end()) {
+            const auto &upstream = found->second->upstream;
+            all.push_back({ upstream.id, serviceName(upstream.service), slow.slowness });
+        }
+    }
+    return all;
+}
+
 } // namespace
 
 VmId vmNumber(const std::string &name)
@@ -96,6 +112,7 @@
     report.platformReachable = node_.isFresh(now);
     report.openFlows = node_.router().trackedFlows();
     report.services = countUpstreams(node_);
+    report.slowUpstreams = slowUpstreams(node_, now);
     const TaggedCounters &counters = node_.router().counters();
     for (std::size_t i = 0; i < taggedRefusalCount; ++i) {
         if (counters.resets.at(i) > 0) {
--- a/routing/upstream_speeds.cpp
+++ b/routing/upstream_speeds.cpp
@@ -21,6 +21,15 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Sorts @p slow, the slowest first, and cuts it off after @p most.
+void keepSlowest(std::vector<SlowUpstream> &slow, std::size_t most)
+{
+    std::sort(slow.begin(), slow.end(), [](const SlowUpstream &a, const SlowUpstream &b) {
+        return std::pair(b.slowness, a.upstream) < std::pair(a.slowness, b.upstream);
+    });
+    slow.resize(std::min(slow.size(), most));
+}
+
 } // namespace
 
 UpstreamSpeeds::UpstreamSpeeds(const SpeedSettings &settings)
@@ -179,10 +188,17 @@
             std::max(std::floor(slowness / settings_.listStep), std::floor(1 / settings_.listStep) + 1);
         slow.push_back({ .upstream = tag, .slowness = steps * settings_.listStep });
     }
-    std::sort(slow.begin(), slow.end(), [](const SlowUpstream &a, const SlowUpstream &b) {
-        return std::pair(b.slowness, a.upstream) < std::pair(a.slowness, b.upstream);
-    });
-    slow.resize(std::min(slow.size(), settings_.maxReported));
+    keepSlowest(slow, settings_.maxReported);
+    return slow;
+}
+
+std::vector<SlowUpstream> UpstreamSpeeds::slowest(std::size_t most, TimePoint now) const
+{
+    std::vector<SlowUpstream> slow;
+    for (const auto &[tag, slowness] : known(now)) {
+        slow.push_back({ .upstream = tag, .slowness = slowness });
+    }
+    keepSlowest(slow, most);
     return slow;
 }
 
--- a/routing/upstream_speeds.h
+++ b/routing/upstream_speeds.h
@@ -100,6 +100,9 @@
     /// The slowest upstreams, for the followers of this VM, with slowness in steps of SpeedSettings::listStep.
     std::vector<SlowUpstream> slowUpstreams(TimePoint now);
 
+    /// At most @p most of the slowest upstreams as of the last update, the slowest first.
+    std::vector<SlowUpstream> slowest(std::size_t most, TimePoint now) const;
+
     /// Number of upstreams that count as slow.
     std::size_t slowCount(TimePoint now) const { return known(now).size(); }
 
--- a/servers/admin_source.h
+++ b/servers/admin_source.h
@@ -49,6 +49,15 @@
     double imbalance = 0;
 };
 
+/// An upstream that the VM takes for slower than the others of its service.
+struct UpstreamSlowness
+{
+    UpstreamId upstream;
+    std::string service;
+    /// Its latency as a multiple of that of the others; above 1.
+    double slowness = 1;
+};
+
 /// Use of one entry on this VM against this VM's share of the limits; a limit of 0 is none.
 struct EntryUse
 {
@@ -68,6 +77,9 @@
     std::uint64_t unknown = 0;
 };
 
+/// Limit of the slow upstreams in a StatusReport.
+inline constexpr std::size_t maxSlowShown = 20;
+
 /// State of one VM.
 struct StatusReport
 {
@@ -95,6 +107,8 @@
     /// Reasons with how often each led to a refusal since the start of the process.
     std::vector<std::pair<std::string, std::uint64_t>> refused;
     std::vector<EntryUse> entries;
+    /// The slowest first; at most maxSlowShown.
+    std::vector<UpstreamSlowness> slowUpstreams = {};
 };
 
 /// A flow by protocol ("tcp" or "udp"), caller and entry address, or by its key.
--- a/tests/drivers/admin_test.cpp
+++ b/tests/drivers/admin_test.cpp
@@ -80,6 +80,7 @@
     use.share.openFlows = 10;
     use.unknown = 11;
     report.entries = { use };
+    report.slowUpstreams = { { UpstreamId { 12 }, "ledger", 4.5 } };
     return report;
 }
 
@@ -112,6 +113,9 @@
     EXPECT_EQ(report->readiness.state, Readiness::Draining);
     EXPECT_EQ(report->viewAge, std::chrono::milliseconds(1500));
     EXPECT_EQ(report->entries.at(0).share.openFlows, 10U);
+    ASSERT_EQ(report->slowUpstreams.size(), 1U);
+    EXPECT_EQ(report->slowUpstreams.front().upstream, UpstreamId { 12 });
+    EXPECT_EQ(report->slowUpstreams.front().slowness, 4.5);
     EXPECT_FALSE(statusFromJson("{}"));
 }
 
--- a/tests/programs/boragelugctl_test.cpp
+++ b/tests/programs/boragelugctl_test.cpp
@@ -219,6 +219,7 @@
         use.answered = 3;
         use.refused = 1;
         report.entries = { use, use };
+        report.slowUpstreams = { { UpstreamId { 9 }, "ledger", 4.5 } };
         return report;
     }
     EventSelection events(const EventFilter &, std::uint64_t after, std::size_t) const override
@@ -295,6 +296,13 @@
     EXPECT_THAT(run({ "status", "-j", "-v", endpoint_ }).out, HasSubstr("\"endpoint\""));
 }
 
+// Guards operators from a host that gets little without a visible reason.
+TEST_F(FleetTest, StatusShowsSlowUpstreams)
+{
+    const CommandRun result = run({ "status", "-v", endpoint_, "-v", endpoint_ });
+    EXPECT_THAT(result.out, testing::ContainsRegex("ledger +" + causeText(9) + " +4\\.5 +2"));
+}
+
 TEST_F(FleetTest, ExplainAsksEachVm)
 {
     const CommandRun result = run({ "explain", "-v", endpoint_, "-f", "udp,10.0.0.1:5,10.0.0.2:6" });
--- a/tests/routing/upstream_speeds_test.cpp
+++ b/tests/routing/upstream_speeds_test.cpp
@@ -206,6 +206,17 @@
     EXPECT_EQ(speeds.takeChange(now), (SlowUpstream { slow, 1 }));
 }
 
+// Guards operators from an unbounded status, and lists from rounding that makes an upstream look slower.
+TEST_F(UpstreamSpeedsTest, ShowsTheSlowest)
+{
+    speeds.setSlowUpstreams(std::vector<SlowUpstream> { { fast, 1.7 }, { slow, 4.9 } }, now);
+    EXPECT_EQ(speeds.slowest(1, now), (std::vector<SlowUpstream> { { slow, 4.9 } }));
+    EXPECT_EQ(speeds.slowest(9, now).size(), 2U);
+    EXPECT_EQ(speeds.slowUpstreams(now), (std::vector<SlowUpstream> { { slow, 4.75 }, { fast, 1.5 } }));
+    now += SpeedSettings {}.listRetention;
+    EXPECT_TRUE(speeds.slowest(9, now).empty());
+}
+
 // Guards new flows from an ejected upstream, or one at its limit, while a slow one is healthy.
 TEST(SlowPlacement, PrefersSlowUpstreamsToEjectedOnes)
 {
