Leave zones without upstreams out of the limits in metrics

boragelug_admission_limit counted zones whose upstreams are gone, so that it stayed too high after an evacuation (found by a reviewer). The status looks up upstreams only if some are slow, as metrics are exported from it too.

--- a/programs/tagged_admin.cpp
+++ b/programs/tagged_admin.cpp
@@ -47,15 +47,18 @@
 
 std::vector<UpstreamSlowness> slowUpstreams(const TaggedNode &node, TimePoint now)
 {
-    std::map<FlowTag, const DirectoryUpstream *> upstreams;
+    const std::vector<SlowUpstream> slowest = node.router().speeds().slowest(maxSlowShown, now);
+    if (slowest.empty()) {
+        return {};
+    }
+    std::map<FlowTag, const Upstream *> upstreams;
     for (const DirectoryUpstream &status : node.view()->upstreams) {
-        upstreams[flowTagOf(status.upstream.id, status.upstream.incarnation)] = &status;
+        upstreams[flowTagOf(status.upstream.id, status.upstream.incarnation)] = &status.upstream;
     }
     std::vector<UpstreamSlowness> all;
-    for (const SlowUpstream &slow : node.router().speeds().slowest(maxSlowShown, now)) {
+    for (const SlowUpstream &slow : slowest) {
         if (const auto found = upstreams.find(slow.upstream); found != upstreams.end()) {
-            const auto &upstream = found->second->upstream;
-            all.push_back({ upstream.id, serviceName(upstream.service), slow.slowness });
+            all.push_back({ found->second->id, serviceName(found->second->service), slow.slowness });
         }
     }
     return all;
--- a/routing/request_admission.cpp
+++ b/routing/request_admission.cpp
@@ -123,6 +123,9 @@
 {
     std::vector<std::pair<ServiceId, double>> limits;
     for (const auto &[key, zone] : admissions_) {
+        if (!slots_.contains(key)) {
+            continue;
+        }
         if (limits.empty() || limits.back().first != key.first) {
             limits.emplace_back(key.first, 0);
         }
--- a/routing/request_admission.h
+++ b/routing/request_admission.h
@@ -86,7 +86,7 @@
     };
     Totals totals(ServiceId service) const;
 
-    /// Limit of each service, over all its zones.
+    /// Limit of each service, over the zones in which it has upstreams.
     std::vector<std::pair<ServiceId, double>> limits() const;
 
 private:
--- a/tests/routing/request_admission_test.cpp
+++ b/tests/routing/request_admission_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <utility>
+#include <vector>
 
 namespace boragelug
 {
@@ -84,6 +86,7 @@
     admission.setSlots(std::array { ZoneSlots { service, home, 8 } });
     EXPECT_NEAR(admission.totals(service).meanLatencyRatio, 0.2, 0.01);
     EXPECT_EQ(admission.totals(service).limit, 8);
+    EXPECT_EQ(admission.limits(), (std::vector { std::pair(service, 8.0) }));
 }
 
 // Guards callers against being rejected as if all zones were as slow as one that serves few of the requests.
