Show open flows reset because a foreign entry names their host's address

Cause: an entry of another writer without "sequence" counts as a host. Of two records at one address the one listed last has it until one progresses, and the other's flows are reset as ended_upstream with a retransmission that is overdue by 300 ms, without a check of the host.

Change: review case 7, a script; the former case 7 becomes case 8, as it is less grave. Nothing is fixed.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -101,7 +101,8 @@
                   const std::string &zone,
                   Milliseconds work,
                   Host::Callbacks callbacks,
-                  bool entersAtOnce = false)
+                  bool entersAtOnce = false,
+                  std::size_t slots = 100)
     {
         const auto number = static_cast<std::uint32_t>(hosts_.size() + 1);
         const auto born = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -111,7 +112,8 @@
                                   .address = address(3, number, 8080),
                                   .born = static_cast<std::uint64_t>(born.count()),
                                   .consumerPort = dataPort,
-                                  .work = work };
+                                  .work = work,
+                                  .slots = slots };
         hosts_.push_back(std::make_unique<Host>(loop_, std::move(settings), std::move(callbacks)));
         Host &host = *hosts_.back();
         canRun_ = canRun_ && host.isOpen();
@@ -185,6 +187,7 @@
     }
 
     Consumer &consumer(std::size_t number) { return *consumers_[number % consumers_.size()]; }
+    std::size_t consumers() const { return consumers_.size(); }
 
     /// Starts all VMs; false if they aren't ready within 10 s.
     bool start()
--- a/review/standins-2/flows.h
+++ b/review/standins-2/flows.h
@@ -4,6 +4,7 @@
 #include "net.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 
 namespace review
@@ -52,6 +53,8 @@
         std::uint64_t born = 0;
         std::uint16_t consumerPort = 0;
         Milliseconds work { 30 };
+        /// Requests that it processes at the same time; further ones wait.
+        std::size_t slots = 100;
     };
     struct Callbacks
     {
@@ -74,6 +77,16 @@
         }
     }
 
+    /// Sets how long the requests take that begin from now on.
+    void setWork(Milliseconds work) { settings_.work = work; }
+
+    /// Whether the flow is open at this host.
+    bool holds(const FlowEnds &ends) const
+    {
+        const auto found = flows_.find(ends);
+        return found != flows_.end() && found->second.open;
+    }
+
     /// Ends the host: it discards its flows and leaves its address.
     void end()
     {
@@ -219,26 +232,44 @@
         const std::string id = at == std::string::npos
             ? std::string("none")
             : request.substr(at + name.size(), request.find('\r', at) - at - name.size());
-        if (callbacks_.onRun) {
-            callbacks_.onRun(*this, id, ends.route);
-        }
-        loop_.after(settings_.work, [this, ends, id] {
-            const auto found = flows_.find(ends);
-            if (found == flows_.end()) {
-                return;
+        waiting_.emplace_back(ends, id);
+        startWaiting();
+    }
+
+    void startWaiting()
+    {
+        while (busySlots_ < settings_.slots && !waiting_.empty()) {
+            const auto [ends, id] = waiting_.front();
+            waiting_.pop_front();
+            ++busySlots_;
+            if (callbacks_.onRun) {
+                callbacks_.onRun(*this, id, ends.route);
             }
-            Flow &flow = found->second;
-            const std::string body = "answer to " + id;
-            flow.sent = reply(ends,
-                              flow,
-                              Packet::ackBit,
-                              "HTTP/1.1 200 OK\r\nX-Boragelug-Server-Stamp: " + std::to_string(settings_.id)
-                                  + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-            flow.nextSeq += static_cast<std::uint32_t>(flow.sent.data.size());
-            flow.unacknowledged = flow.nextSeq;
-            flow.retransmissions = 0;
-            retransmitLater(ends, flow.unacknowledged, firstRetransmission);
-        });
+            loop_.after(settings_.work, [this, ends = ends, id = id] {
+                --busySlots_;
+                answer(ends, id);
+                startWaiting();
+            });
+        }
+    }
+
+    void answer(const FlowEnds &ends, const std::string &id)
+    {
+        const auto found = flows_.find(ends);
+        if (found == flows_.end()) {
+            return;
+        }
+        Flow &flow = found->second;
+        const std::string body = "answer to " + id;
+        flow.sent = reply(ends,
+                          flow,
+                          Packet::ackBit,
+                          "HTTP/1.1 200 OK\r\nX-Boragelug-Server-Stamp: " + std::to_string(settings_.id)
+                              + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        flow.nextSeq += static_cast<std::uint32_t>(flow.sent.data.size());
+        flow.unacknowledged = flow.nextSeq;
+        flow.retransmissions = 0;
+        retransmitLater(ends, flow.unacknowledged, firstRetransmission);
     }
 
     void retransmitLater(const FlowEnds &ends, std::uint32_t unacknowledged, Milliseconds delay)
@@ -276,6 +307,8 @@
     int socket_;
     int listener_;
     std::map<FlowEnds, Flow> flows_;
+    std::deque<std::pair<FlowEnds, std::string>> waiting_;
+    std::size_t busySlots_ = 0;
 };
 
 /// A consumer that opens a flow for each request.
@@ -308,7 +341,11 @@
     bool isOpen() const { return socket_ >= 0; }
     const Counts &counts() const { return counts_; }
 
-    void request(const Address &route, const std::string &id)
+    /// Called when the system resets a flow that is open for the consumer.
+    std::function<void(const FlowEnds &ends, const std::string &id)> onSystemReset;
+
+    /// Sends a request on a flow of its own, which stays open afterwards if @p staysOpen.
+    void request(const Address &route, const std::string &id, bool staysOpen = false)
     {
         const std::uint16_t port = nextPort_;
         nextPort_ = nextPort_ >= 60000 ? 20000 : static_cast<std::uint16_t>(nextPort_ + 1);
@@ -317,6 +354,7 @@
         flow.route = route;
         flow.id = id;
         flow.number = ++lastFlow_;
+        flow.staysOpen = staysOpen;
         flow.nextSeq = static_cast<std::uint32_t>(random_());
         ++counts_.sent;
         record_.line("sent request " + id + " for route " + text(route));
@@ -333,6 +371,29 @@
         loop_.after(Milliseconds(2500), [this, port, number = flow.number] { giveUp(port, number, true); });
     }
 
+    /// Ends of the flows that are open and wait for nothing.
+    std::vector<FlowEnds> idleFlows() const
+    {
+        std::vector<FlowEnds> idle;
+        for (const auto &[port, flow] : flows_) {
+            if (flow.open && flow.unacknowledged.empty()) {
+                idle.push_back({ { address_.ip, port }, flow.route });
+            }
+        }
+        return idle;
+    }
+
+    /// Sends a further request on an idle flow.
+    void requestAgain(std::uint16_t port, const std::string &id)
+    {
+        Flow &flow = flows_.at(port);
+        flow.id = id;
+        ++counts_.sent;
+        record_.line("sent request " + id + " on the open flow of port " + std::to_string(port));
+        sendRequest(port, flow);
+        loop_.after(Milliseconds(2500), [this, port, number = flow.number] { giveUp(port, number, true); });
+    }
+
 private:
     struct Flow
     {
@@ -344,12 +405,14 @@
         std::uint32_t expected = 0;
         std::uint32_t echo = 0;
         std::string unacknowledged;
+        bool staysOpen = false;
     };
 
     void giveUp(std::uint16_t port, std::uint64_t number, bool open)
     {
         const auto found = flows_.find(port);
-        if (found != flows_.end() && found->second.number == number && found->second.open == open) {
+        if (found != flows_.end() && found->second.number == number && found->second.open == open
+            && (!open || !found->second.unacknowledged.empty())) {
             ++counts_.unanswered;
             record_.line("no answer to request " + found->second.id);
             flows_.erase(found);
@@ -375,6 +438,13 @@
         send_(encode(packet));
     }
 
+    void sendRequest(std::uint16_t port, Flow &flow)
+    {
+        flow.unacknowledged =
+            "POST / HTTP/1.1\r\nHost: route\r\nX-Boragelug-Request-Id: " + flow.id + "\r\nContent-Length: 0\r\n\r\n";
+        sendData(port, flow.number, firstRetransmission);
+    }
+
     void sendData(std::uint16_t port, std::uint64_t number, Milliseconds delay)
     {
         const auto found = flows_.find(port);
@@ -418,6 +488,9 @@
             const bool isNear = packet.seq - flow.expected <= window || flow.expected - packet.seq <= window;
             if (!flow.open || isNear) {
                 ++counts_.reset;
+                if (isSystemReset && flow.open && onSystemReset) {
+                    onSystemReset({ { address_.ip, port }, flow.route }, flow.id);
+                }
                 record_.line("reset " + std::string(isSystemReset ? "by the system" : "by a host") + " of request "
                              + flow.id);
                 flows_.erase(found);
@@ -430,9 +503,7 @@
                 flow.open = true;
                 flow.expected = packet.seq + 1;
                 ++flow.nextSeq;
-                flow.unacknowledged = "POST / HTTP/1.1\r\nHost: route\r\nX-Boragelug-Request-Id: " + flow.id
-                    + "\r\nContent-Length: 0\r\n\r\n";
-                sendData(port, flow.number, firstRetransmission);
+                sendRequest(port, flow);
             }
             return;
         }
@@ -443,8 +514,12 @@
         flow.nextSeq += static_cast<std::uint32_t>(flow.unacknowledged.size());
         ++counts_.served;
         record_.line("answered request " + flow.id + " with " + packet.data.substr(9, 3));
-        send_(encode(makePacket(port, flow, Packet::ackBit | Packet::finBit)));
-        flows_.erase(found);
+        flow.unacknowledged.clear();
+        flow.number = ++lastFlow_;
+        send_(encode(makePacket(port, flow, Packet::ackBit | (flow.staysOpen ? 0U : Packet::finBit))));
+        if (!flow.staysOpen) {
+            flows_.erase(found);
+        }
     }
 
     Loop &loop_;
--- a/review/standins-2/hidden_drain.cpp
+++ b/review/standins-2/hidden_drain.cpp
@@ -1,4 +1,4 @@
-// Case 7: hosts are released one after the other, and another writer's bytes, which can't be read, stand under the id
+// Case 8: hosts are released one after the other, and another writer's bytes, which can't be read, stand under the id
 // of each one that drains until its next heartbeat.
 #include "deployment.h"
 
