Show open flows of a host reset that is full for a third of a second

Cause: one failed check of a host and one retransmission count as its end while no other host of the service seems silent. A host that is full takes no connections and answers late, but lives; all flows of a VM at it are reset.

Nothing is fixed.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -102,7 +102,8 @@
                   Milliseconds work,
                   Host::Callbacks callbacks,
                   bool entersAtOnce = false,
-                  std::size_t slots = 100)
+                  std::size_t slots = 100,
+                  std::size_t queue = 1000)
     {
         const auto number = static_cast<std::uint32_t>(hosts_.size() + 1);
         const auto born = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -113,7 +114,8 @@
                                   .born = static_cast<std::uint64_t>(born.count()),
                                   .consumerPort = dataPort,
                                   .work = work,
-                                  .slots = slots };
+                                  .slots = slots,
+                                  .queue = queue };
         hosts_.push_back(std::make_unique<Host>(loop_, std::move(settings), std::move(callbacks)));
         Host &host = *hosts_.back();
         canRun_ = canRun_ && host.isOpen();
--- a/review/standins-2/flows.h
+++ b/review/standins-2/flows.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <set>
+#include <utility>
 
 namespace review
 {
@@ -55,6 +56,8 @@
         Milliseconds work { 30 };
         /// Requests that it processes at the same time; further ones wait.
         std::size_t slots = 100;
+        /// Requests that may wait. A host with no room for a further one is full.
+        std::size_t queue = 1000;
     };
     struct Callbacks
     {
@@ -177,7 +180,7 @@
         const FlowEnds ends { packet.source, packet.destination };
         const auto found = flows_.find(ends);
         if (packet.has(Packet::synBit)) {
-            if (packet.has(Packet::ackBit) || (found != flows_.end() && found->second.open)) {
+            if (packet.has(Packet::ackBit) || (found != flows_.end() && found->second.open) || isFull()) {
                 return;
             }
             if (found == flows_.end() && callbacks_.onOpening) {
@@ -232,8 +235,41 @@
         const std::string id = at == std::string::npos
             ? std::string("none")
             : request.substr(at + name.size(), request.find('\r', at) - at - name.size());
+        if (isFull()) {
+            answer(ends,
+                   "HTTP/1.1 503 Service Unavailable\r\nX-Boragelug-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
         waiting_.emplace_back(ends, id);
         startWaiting();
+        updateAcceptQueue();
+    }
+
+    bool isFull() const { return busySlots_ >= settings_.slots && waiting_.size() >= settings_.queue; }
+
+    // A full host takes no connections either: its queue of new connections is full then, so that the kernel drops the
+    // opening packets of further ones.
+    void updateAcceptQueue()
+    {
+        if (isFull() == !fillers_.empty()) {
+            return;
+        }
+        if (!isFull()) {
+            for (const int filler : std::exchange(fillers_, {})) {
+                close(filler);
+            }
+            listen(listener_, 128);
+            loop_.watch(listener_, POLLIN, [this] { answerStatusChecks(); });
+            return;
+        }
+        answerStatusChecks();
+        loop_.unwatch(listener_);
+        listen(listener_, 0);
+        const sockaddr_in self = native(settings_.address);
+        for (int i = 0; i < 4; ++i) {
+            fillers_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            connect(fillers_.back(), reinterpret_cast<const sockaddr *>(&self), sizeof self);
+        }
     }
 
     void startWaiting()
@@ -247,25 +283,24 @@
             }
             loop_.after(settings_.work, [this, ends = ends, id = id] {
                 --busySlots_;
-                answer(ends, id);
+                const std::string body = "answer to " + id;
+                answer(ends,
+                       "HTTP/1.1 200 OK\r\nX-Boragelug-Server-Stamp: " + std::to_string(settings_.id)
+                           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
                 startWaiting();
+                updateAcceptQueue();
             });
         }
     }
 
-    void answer(const FlowEnds &ends, const std::string &id)
+    void answer(const FlowEnds &ends, const std::string &response)
     {
         const auto found = flows_.find(ends);
         if (found == flows_.end()) {
             return;
         }
         Flow &flow = found->second;
-        const std::string body = "answer to " + id;
-        flow.sent = reply(ends,
-                          flow,
-                          Packet::ackBit,
-                          "HTTP/1.1 200 OK\r\nX-Boragelug-Server-Stamp: " + std::to_string(settings_.id)
-                              + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        flow.sent = reply(ends, flow, Packet::ackBit, response);
         flow.nextSeq += static_cast<std::uint32_t>(flow.sent.data.size());
         flow.unacknowledged = flow.nextSeq;
         flow.retransmissions = 0;
@@ -309,6 +344,7 @@
     std::map<FlowEnds, Flow> flows_;
     std::deque<std::pair<FlowEnds, std::string>> waiting_;
     std::size_t busySlots_ = 0;
+    std::vector<int> fillers_;
 };
 
 /// A consumer that opens a flow for each request.
