--- a/review/standins-2/hidden_drain.cpp
+++ b/review/standins-2/hidden_drain.cpp
@@ -9,8 +9,11 @@
 
 constexpr Milliseconds drainBound { 3000 };
 constexpr std::size_t ledgerHosts = 14;
-constexpr std::size_t releasedHosts = 7;
-constexpr Milliseconds releaseGap { 1000 };
+/// Half of the hosts are released, and then the other half.
+constexpr std::size_t releasedAtOnce = 7;
+constexpr Milliseconds firstGap { 970 };
+constexpr Milliseconds secondGap { 930 };
+constexpr Milliseconds secondRelease { 12000 };
 /// A VM that others asked for records at their start counts them as its followers for 10 s.
 constexpr Milliseconds settling { 14000 };
 /// At most value_bytes (1,048,576).
@@ -59,7 +62,7 @@
         return couldNotRun;
     }
     const Time start = loop.now();
-    constexpr int requests = 8000;
+    constexpr int requests = 10500;
     for (int i = 0; i < requests; ++i) {
         loop.at(start + Milliseconds(4 * i), [&deployment, i] {
             deployment.consumer(static_cast<std::size_t>(i))
@@ -67,8 +70,9 @@
         });
     }
     const std::string garbage(foreignBytes, '\xff');
-    for (std::size_t i = 0; i < releasedHosts; ++i) {
-        const Time step = start + settling + releaseGap * i;
+    for (std::size_t i = 0; i < 2 * releasedAtOnce; ++i) {
+        const Time step =
+            start + settling + (i < releasedAtOnce ? firstGap * i : secondRelease + secondGap * (i - releasedAtOnce));
         // The new host starts first.
         loop.at(step,
                 [&, i] { deployment.addHost("ledger", zones[i % zones.size()], Milliseconds(30), callbacks, true); });
@@ -87,7 +91,7 @@
         // It serves for drain_ms and a little longer.
         loop.at(step + Milliseconds(300 + 8000), [&, i] { deployment.endHost(*deployment.hosts()[i]); });
     }
-    loop.runUntil(start + Milliseconds(34'000));
+    loop.runUntil(start + Milliseconds(43'000));
     const bool clean = deployment.stop();
     const Consumer::Counts counts = deployment.counts();
     printf("%llu requests, %llu answered, %llu reset, %llu without an answer; latest opening %.3f s after an ack, %d "
