--- a/review/standins-2/full_host.cpp
+++ b/review/standins-2/full_host.cpp
@@ -8,13 +8,13 @@
 
 constexpr std::size_t ledgerHosts = 6;
 /// Slots and queue of a ledger host, and the mean and the longest work of a price-feed, in the site file.
-constexpr std::size_t slots = 3;
-constexpr std::size_t queue = 12;
+constexpr std::size_t slots = 2;
+constexpr std::size_t queue = 8;
 constexpr Milliseconds usualWork { 55 };
 constexpr Milliseconds longestWork { 330 };
 constexpr int flows = 150;
 /// Requests that come at once, enough to fill the host again when its earlier requests end.
-constexpr std::size_t burst = 21;
+constexpr std::size_t burst = 16;
 constexpr Milliseconds secondPart { 60 };
 
 } // namespace
@@ -77,15 +77,15 @@
                 if (host.holds(ends) && further < burst) {
                     const std::string id = "further-" + std::to_string(further);
                     const Milliseconds atOnce = further < slots + queue ? Milliseconds(0) : secondPart;
-                    const Milliseconds delay = options.trouble ? atOnce : Milliseconds(150 * further);
+                    const Milliseconds delay = options.trouble ? atOnce : Milliseconds(300 * further);
                     ++further;
                     loop.after(delay, [&consumer, port = ends.consumer.port, id] { consumer.requestAgain(port, id); });
                 }
             }
         }
     });
-    loop.at(start + Milliseconds(14'000), [&] { host.setWork(usualWork); });
-    loop.runUntil(start + Milliseconds(17'500));
+    loop.at(start + Milliseconds(15'500), [&] { host.setWork(usualWork); });
+    loop.runUntil(start + Milliseconds(19'000));
     const bool clean = deployment.stop();
     const Consumer::Counts counts = deployment.counts();
     printf("%d flows, %zu further requests at one host; %llu of %llu requests answered; %d open flows reset\n",
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -134,18 +134,21 @@
     std::string rangeBody(const std::string &prefix, const std::string &after) const
     {
         constexpr std::size_t pageItems = 500;
+        constexpr std::size_t pageBytes = 1'048'576;
         std::string items;
         std::size_t count = 0;
+        std::size_t bytes = 0;
         bool more = false;
         for (const auto &[key, item] : items_) {
             if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
                 continue;
             }
-            if (count == pageItems) {
+            if (count == pageItems || (count > 0 && bytes + item.value.size() > pageBytes)) {
                 more = true;
                 break;
             }
             items += (count++ > 0 ? "," : "") + itemBody(item);
+            bytes += item.value.size();
         }
         return R"({"items":[)" + items + R"(],"has_more":)" + (more ? "true" : "false") + R"(,"as_of":)"
             + std::to_string(revision_) + '}';
